A relay on the users' platform: routes, gates, ownership by heartbeats, one hop

Cause: nothing in the project spoke the platform. The new area internal/relay holds the decisions and their carriers, platform/ translates. Weighed: driving the present node through an adapter; its leases need witnesses, grants at a fixed interval and a table without partitions, and each of its ranges is a hash slot, while the platform hands ranges of plain keys to backend servers in answers to heartbeats.

--- a/internal/program/ibiscli/cli.go
+++ b/internal/program/ibiscli/cli.go
@@ -21,6 +21,7 @@
 type arguments struct {
 	Dev     *devCommand     `arg:"subcommand:dev" help:"run a whole small system in one process"`
 	Node    *nodeCommand    `arg:"subcommand:node" help:"run the node beside a backend server"`
+	Relay   *relayCommand   `arg:"subcommand:relay" help:"run the node beside a backend server of the users' platform"`
 	Doc     *docCommands    `arg:"subcommand:doc" help:"read, check and change the document"`
 	Key     *keyCommands    `arg:"subcommand:key" help:"translate keys and find their owners"`
 	Status  *statusCommand  `arg:"subcommand:status" help:"show nodes, domains, leases, slots and histograms"`
--- a/internal/program/ibiscli/firstdocument.go
+++ b/internal/program/ibiscli/firstdocument.go
@@ -12,14 +12,14 @@
 	"github.com/ibisridge/ibisridge/internal/peer/ibisplatform"
 )
 
-// platform is the platform's table and object store.
-type platform interface {
+// firstPlatform is the platform's table and object store.
+type firstPlatform interface {
 	ibisplatform.Table
 	ibisplatform.Objects
 }
 
 // putFirstDocument puts the first document into an empty platform; it fails with errRefused where one stands.
-func putFirstDocument(ctx context.Context, p platform, sections ibisdoc.Sections) error {
+func putFirstDocument(ctx context.Context, p firstPlatform, sections ibisdoc.Sections) error {
 	outcome := ibissection.New(p, p, ibistimer.New()).Init(ctx, uuid.NewString(), sections)
 	switch outcome.Status {
 	case ibissection.StatusApplied:
--- /dev/null
+++ b/internal/relay/ibishop/client.go
@@ -0,0 +1,112 @@
+package ibishop
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
+	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+)
+
+// Client sends orders to other nodes; it is safe for concurrent use.
+type Client struct {
+	clock ibistimer.Service
+
+	mu    sync.Mutex
+	pools map[string]*ibislink.Pool
+}
+
+// NewClient returns a client without connections.
+func NewClient(clock ibistimer.Service) *Client {
+	return &Client{
+		clock: clock,
+		pools: make(map[string]*ibislink.Pool),
+	}
+}
+
+// Send sends an order to the node at the address and returns its answer.
+func (c *Client) Send(ctx context.Context, address string, order ibisorder.Order) ibisorder.Answer {
+	now := c.clock.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(order.Deadline.Sub(now), func() { cancel(context.DeadlineExceeded) })
+	response, err := c.pool(address).Exchange(ctx, ibislink.Request{
+		Method: order.Method,
+		URI:    order.URI,
+		Host:   order.Host,
+		Header: encodeOrder(order, now),
+		Body:   order.BodyReader(),
+		Length: order.Length,
+	})
+	timer.Stop()
+	if err != nil {
+		cause := context.Cause(ctx)
+		cancel(nil)
+		return failed(err, cause)
+	}
+	answer, err := decodeAnswer(response.Header.Get(headerAnswer))
+	if err != nil {
+		_ = response.Body.Close()
+		cancel(nil)
+		return ibisorder.Unknown(ibisorder.ReasonBroken, err)
+	}
+	if answer.Outcome != ibisid.OutcomeDone {
+		_ = response.Body.Close()
+		cancel(nil)
+		return answer
+	}
+	answer.Status = response.Status
+	answer.Header = ibisbackend.EndToEnd(response.Header)
+	answer.Length = response.Length
+	answer.Body = response.Body
+	return answer
+}
+
+// failed tells an order that never left from one that may have run.
+func failed(err, cause error) ibisorder.Answer {
+	reason := ibisorder.ReasonBroken
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
+		reason = ibisorder.ReasonDeadline
+	case cause != nil:
+		reason = ibisorder.ReasonCancelled
+	}
+	if !errors.Is(err, ibislink.ErrNotSent) {
+		return ibisorder.Unknown(reason, err)
+	}
+	if reason == ibisorder.ReasonBroken {
+		reason = ibisorder.ReasonUnreachable
+	}
+	return ibisorder.NotRun(reason, 0, err)
+}
+
+// Sweep closes connections that idle for too long and forgets addresses that aren't in use any more.
+func (c *Client) Sweep(used func(address string) bool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, pool := range c.pools {
+		pool.Sweep(now)
+		if !used(address) {
+			pool.Close()
+			delete(c.pools, address)
+		}
+	}
+}
+
+func (c *Client) pool(address string) *ibislink.Pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		p = ibislink.New(ibislink.Options{
+			Address: address,
+		})
+		c.pools[address] = p
+	}
+	return p
+}
--- /dev/null
+++ b/internal/relay/ibishop/server.go
@@ -0,0 +1,90 @@
+package ibishop
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+)
+
+// copyBytes is the buffer of an answer on its way through.
+const copyBytes = 16 << 10
+
+// Target runs orders on the backend server of the own instance.
+type Target interface {
+	// Send runs an order, or answers why it was not run.
+	Send(ctx context.Context, order ibisorder.Order) ibisorder.Answer
+}
+
+// Handler returns the handler of the port at which other nodes send orders.
+func Handler(target Target, clock ibistimer.Service, log *zap.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		order, err := decodeOrder(r, clock.Now())
+		if err != nil {
+			log.Warn("order of a node can't be read", zap.String("from", r.RemoteAddr), zap.Error(err))
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answer := target.Send(r.Context(), order)
+		if answer.Outcome != ibisid.OutcomeDone {
+			w.Header()[headerAnswer] = []string{encodeAnswer(answer)}
+			w.Header()["Date"] = nil
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header()[headerAnswer] = []string{encodeAnswer(answer)}
+		WriteAnswer(w, answer, log)
+	})
+}
+
+// WriteAnswer writes a backend server's answer as it came; one that breaks off closes the connection, so that it can't
+// pass for whole.
+func WriteAnswer(w http.ResponseWriter, answer ibisorder.Answer, log *zap.Logger) {
+	defer func() { _ = answer.Body.Close() }()
+	header := w.Header()
+	maps.Copy(header, answer.Header)
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil
+	}
+	if _, ok := header["Date"]; !ok {
+		header["Date"] = nil
+	}
+	if answer.Length >= 0 {
+		header["Content-Length"] = []string{strconv.FormatInt(answer.Length, 10)}
+	}
+	w.WriteHeader(answer.Status)
+	if err := copyBody(w, answer.Body); err != nil {
+		log.Warn("answer broke off on its way", zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyBody passes a body on as it comes: what has been read is flushed before the next read can block.
+func copyBody(w http.ResponseWriter, body io.Reader) error {
+	flusher, _ := w.(http.Flusher)
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, werr := w.Write(buffer[:n]); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if flusher != nil && n < len(buffer) {
+			flusher.Flush()
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/ibishop/wire.go
@@ -0,0 +1,130 @@
+package ibishop
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+)
+
+const (
+	headerOrder  = ibisbackend.HeaderPrefix + "Order"
+	headerAnswer = ibisbackend.HeaderPrefix + "Answer"
+)
+
+// orderHeader is the particulars of an order beside the request itself.
+type orderHeader struct {
+	ID         string             `json:"id"`
+	Origin     ibisid.ServiceName `json:"origin"`
+	Service    ibisid.ServiceName `json:"service"`
+	Server     string             `json:"server,omitempty"`
+	Class      ibisid.ClassName   `json:"class"`
+	Priority   int                `json:"priority,omitempty"`
+	Repeatable bool               `json:"repeatable,omitempty"`
+	Key        int                `json:"key"`
+	TargetMs   int64              `json:"targetMs"`
+	LeftMs     int64              `json:"leftMs"`
+}
+
+// answerHeader is the particulars of an answer beside the response itself.
+type answerHeader struct {
+	Outcome      ibisid.Outcome   `json:"outcome"`
+	Reason       ibisorder.Reason `json:"reason,omitempty"`
+	RetryAfterMs int64            `json:"retryAfterMs,omitempty"`
+	Owner        ibisid.NodeName  `json:"owner,omitempty"`
+	Arrived      bool             `json:"arrived,omitempty"`
+	Load         float32          `json:"load"`
+}
+
+func encodeOrder(order ibisorder.Order, now time.Time) http.Header {
+	header := order.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	value, err := json.Marshal(orderHeader{
+		ID:         order.ID,
+		Origin:     order.Origin,
+		Service:    order.Service,
+		Server:     order.Server,
+		Class:      order.Class,
+		Priority:   order.Priority,
+		Repeatable: order.Repeatable,
+		Key:        order.Key,
+		TargetMs:   order.Target.Sub(now).Milliseconds(),
+		LeftMs:     order.Deadline.Sub(now).Milliseconds(),
+	})
+	if err != nil {
+		panic(fmt.Sprintf("order %s can't be encoded: %v", order.ID, err))
+	}
+	header[headerOrder] = []string{string(value)}
+	return header
+}
+
+var errNoOrder = errors.New("request carries no order of a node")
+
+func decodeOrder(r *http.Request, now time.Time) (ibisorder.Order, error) {
+	text := r.Header.Get(headerOrder)
+	if text == "" {
+		return ibisorder.Order{}, errNoOrder
+	}
+	var h orderHeader
+	if err := json.Unmarshal([]byte(text), &h); err != nil {
+		return ibisorder.Order{}, fmt.Errorf("order of a node: %w", err)
+	}
+	order := ibisorder.Order{
+		ID:         h.ID,
+		Method:     r.Method,
+		URI:        r.RequestURI,
+		Host:       r.Host,
+		Header:     ibisbackend.EndToEnd(r.Header),
+		Length:     r.ContentLength,
+		Origin:     h.Origin,
+		Service:    h.Service,
+		Server:     h.Server,
+		Class:      h.Class,
+		Priority:   h.Priority,
+		Repeatable: h.Repeatable,
+		Key:        h.Key,
+		Target:     now.Add(time.Duration(h.TargetMs) * time.Millisecond),
+		Deadline:   now.Add(time.Duration(h.LeftMs) * time.Millisecond),
+	}
+	if r.ContentLength != 0 {
+		order.Rest = r.Body
+	}
+	return order, nil
+}
+
+func encodeAnswer(a ibisorder.Answer) string {
+	value, err := json.Marshal(answerHeader{
+		Outcome:      a.Outcome,
+		Reason:       a.Reason,
+		RetryAfterMs: a.RetryAfter.Milliseconds(),
+		Owner:        a.Owner,
+		Arrived:      a.Arrived,
+		Load:         float32(int(a.Load*100)) / 100,
+	})
+	if err != nil {
+		panic(fmt.Sprintf("answer can't be encoded: %v", err))
+	}
+	return string(value)
+}
+
+func decodeAnswer(text string) (ibisorder.Answer, error) {
+	var h answerHeader
+	if err := json.Unmarshal([]byte(text), &h); err != nil {
+		return ibisorder.Answer{}, fmt.Errorf("answer of a node: %w", err)
+	}
+	return ibisorder.Answer{
+		Outcome:    h.Outcome,
+		Reason:     h.Reason,
+		RetryAfter: time.Duration(h.RetryAfterMs) * time.Millisecond,
+		Owner:      h.Owner,
+		Arrived:    h.Arrived,
+		Load:       float64(h.Load),
+	}, nil
+}
--- /dev/null
+++ b/internal/relay/ibiskeep/heartbeat.go
@@ -0,0 +1,164 @@
+package ibiskeep
+
+import (
+	"slices"
+	"time"
+)
+
+// heartbeat takes a heartbeat in and answers it.
+func (k *Keeper) heartbeat(e HeartbeatEvent, now time.Time) {
+	s := &k.server
+	if e.Life.Born < s.life.Born || e.Life == s.life && e.Seq <= s.seq {
+		k.emit(GrantEffect{})
+		return
+	}
+	if e.Life != s.life {
+		k.meet(e, now)
+	}
+	s.seq = e.Seq
+	s.lastBeat = now
+	s.ended = false
+	s.leaving = s.leaving || e.Leaving
+	s.reported = e.Holds
+	for _, r := range e.Released {
+		s.release(r)
+	}
+	s.forgetUnheld(now)
+	k.emit(k.answer(now))
+}
+
+// meet begins with a new life of the backend server. It listens where the old one did, so the old one has ended; what it
+// holds itself an earlier run of this node may have granted it.
+func (k *Keeper) meet(e HeartbeatEvent, now time.Time) {
+	k.server = server{
+		life:       e.Life,
+		firstBeat:  now,
+		grantUntil: now,
+	}
+	for _, h := range e.Holds {
+		k.server.grants = append(k.server.grants, granted{Span: h.Span, at: now})
+	}
+	if len(e.Holds) > 0 {
+		k.server.grantUntil = now.Add(k.longestGrant())
+	}
+}
+
+// longestGrant bounds how long a backend server can hold what any answer granted.
+func (k *Keeper) longestGrant() time.Duration {
+	return time.Duration(float64(k.config.HoldMax) * (1 + driftShare))
+}
+
+// release notes a span that the backend server has released, with its handover.
+func (s *server) release(r Released) {
+	s.released = append(s.released, r)
+	s.grants = slices.DeleteFunc(s.grants, func(g granted) bool { return r.From <= g.From && g.To <= r.To })
+}
+
+// forgetUnheld drops grants that the backend server doesn't report, once no answer that names them can still arrive.
+func (s *server) forgetUnheld(now time.Time) {
+	s.grants = slices.DeleteFunc(s.grants, func(g granted) bool {
+		return now.Sub(g.at) >= staleAnswer && !s.reports(g.Span)
+	})
+}
+
+func (s *server) reports(span Span) bool {
+	return slices.ContainsFunc(s.reported, func(h Held) bool { return h.Overlaps(span) })
+}
+
+// free reports whether the backend server holds none of the span and can't come to hold it by an answer on its way.
+func (s *server) free(span Span, now time.Time) bool {
+	if s.life.IsZero() || s.ended || !now.Before(s.grantUntil) {
+		return true
+	}
+	return !s.reports(span) && !slices.ContainsFunc(s.grants, func(g granted) bool { return g.Overlaps(span) })
+}
+
+// handover returns what the backend server handed out for the span, empty where it didn't.
+func (s *server) handover(span Span) string {
+	for i := len(s.released) - 1; i >= 0; i-- {
+		if r := s.released[i]; r.From <= span.From && span.To <= r.To {
+			return r.Handover
+		}
+	}
+	return ""
+}
+
+// answer names everything that the backend server is to hold, for as long as the lease covers.
+func (k *Keeper) answer(now time.Time) GrantEffect {
+	s := &k.server
+	if !k.sharded {
+		return GrantEffect{}
+	}
+	if s.leaving {
+		return GrantEffect{
+			Renews:  true,
+			HoldFor: minGrant,
+		}
+	}
+	hold := time.Duration(float64(k.lease.until.Sub(now)-grantSlack) / (1 + driftShare))
+	hold = min(hold, k.config.HoldMax)
+	if !k.leaseValid(now) || k.pageStale || !k.pageKnown || hold < minGrant {
+		return GrantEffect{}
+	}
+	effect := GrantEffect{
+		Renews:  true,
+		HoldFor: hold,
+	}
+	for _, r := range k.page.Ranges {
+		if !k.grantable(r) {
+			continue
+		}
+		effect.Grants = append(effect.Grants, Grant{
+			Span:     r.Span,
+			Token:    r.Token,
+			Handover: r.Handover,
+		})
+		s.noteGrant(r.Span, now)
+	}
+	if len(effect.Grants) > 0 {
+		until := now.Add(time.Duration(float64(hold) * (1 + driftShare)))
+		if until.After(s.grantUntil) {
+			s.grantUntil = until
+		}
+	}
+	return effect
+}
+
+func (s *server) noteGrant(span Span, now time.Time) {
+	s.released = slices.DeleteFunc(s.released, func(r Released) bool { return r.Overlaps(span) })
+	for i := range s.grants {
+		if s.grants[i].Span == span {
+			s.grants[i].at = now
+			return
+		}
+	}
+	s.grants = append(s.grants, granted{Span: span, at: now})
+}
+
+// grantable reports whether the own backend server is to hold the range.
+func (k *Keeper) grantable(r Range) bool {
+	s := &k.server
+	if r.Owner != (Owner{Node: k.config.Node, Life: s.life}) || r.Next != "" || s.leaving || s.ended {
+		return false
+	}
+	return !k.isOut() && !k.givesAway(r)
+}
+
+// givesAway reports whether a commit that may yet take effect gives the range to another owner.
+func (k *Keeper) givesAway(r Range) bool {
+	if k.pending == nil {
+		return false
+	}
+	after, ok := k.pending.page.Find(r.From)
+	return ok && (after.Owner != r.Owner || after.Next != "")
+}
+
+// isOut reports whether operators took the own failure domain out.
+func (k *Keeper) isOut() bool {
+	for _, m := range k.members {
+		if m.Node == k.config.Node {
+			return k.out.Has(m.Place.Domain)
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/relay/ibiskeep/lease.go
@@ -0,0 +1,193 @@
+package ibiskeep
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
+)
+
+const (
+	// takeoverSlack is added to the term before a lapsed lease is taken, for the drift of the store's clock.
+	takeoverSlack = 500 * time.Millisecond
+	// rememberedRenewals is how many renewals without an answer are remembered, as they may have taken effect.
+	rememberedRenewals = 8
+)
+
+// lease is the node's own lease.
+type lease struct {
+	version uint64
+	until   time.Time
+	// began is when the present run of unbroken validity began.
+	began   time.Time
+	sentAt  time.Time
+	renewal *renewal
+	lost    []renewal
+	retryAt time.Time
+}
+
+// renewal is one renewal under way, or without an answer.
+type renewal struct {
+	id     uint64
+	sentAt time.Time
+	writer string
+}
+
+// peerLease is another node's lease as the store showed it.
+type peerLease struct {
+	version uint64
+	since   time.Duration
+	seenAt  time.Duration
+}
+
+func (k *Keeper) leaseValid(now time.Time) bool { return now.Before(k.lease.until) }
+
+// wantsLease reports whether the node has a reason to hold a lease: a backend server that may hold keys.
+func (k *Keeper) wantsLease(now time.Time) bool {
+	s := &k.server
+	if s.life.IsZero() {
+		return false
+	}
+	return !s.ended || k.ownsAny() || now.Sub(s.lastBeat) < k.config.LeaseTerm
+}
+
+func (k *Keeper) ownsAny() bool {
+	for _, r := range k.page.Ranges {
+		if r.Owner.Node == k.config.Node {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *Keeper) planRenewal(now time.Time) {
+	if k.lease.renewal != nil || now.Before(k.lease.retryAt) || !k.wantsLease(now) {
+		return
+	}
+	if k.leaseValid(now) && now.Sub(k.lease.sentAt) < k.config.RenewEvery {
+		return
+	}
+	k.lastID++
+	r := &renewal{
+		id:     k.lastID,
+		sentAt: now,
+		writer: fmt.Sprintf("%d/%d", k.config.Incarnation, k.lastID),
+	}
+	k.lease.renewal = r
+	key := k.leaseKey(k.config.Node)
+	k.emit(CommitEffect{
+		ID:      r.id,
+		Purpose: PurposeRenew,
+		Commit: ibisstore.Commit{
+			Conditions: []ibisstore.Condition{{Key: key, Version: k.lease.version}},
+			Writes:     []ibisstore.Write{{Key: key, Value: []byte(r.writer)}},
+		},
+	})
+}
+
+func (k *Keeper) renewed(result ibisstore.Result, now time.Time) {
+	r := k.lease.renewal
+	k.lease.renewal = nil
+	switch result.Outcome {
+	case ibisstore.OutcomeApplied:
+		k.lease.version = result.Version
+		k.lease.lost = nil
+		k.extend(r.sentAt, now)
+	case ibisstore.OutcomeConflict:
+		k.renewalConflict(result.Rows, now)
+	case ibisstore.OutcomeUnknown:
+		k.lease.lost = append(k.lease.lost, *r)
+		if n := len(k.lease.lost); n > rememberedRenewals {
+			k.lease.lost = k.lease.lost[n-rememberedRenewals:]
+		}
+		k.lease.retryAt = now.Add(retryAfter)
+	case ibisstore.OutcomeRefused:
+		k.lease.retryAt = now.Add(retryAfter)
+	}
+}
+
+// extend makes the lease last for a term from when its renewal was sent. After a lapse others may have taken the ranges,
+// so the page must be read anew before anything is granted.
+func (k *Keeper) extend(sentAt, now time.Time) {
+	if !k.leaseValid(now) {
+		k.pageStale = true
+		k.lease.began = now
+	}
+	k.lease.sentAt = sentAt
+	term := time.Duration(float64(k.config.LeaseTerm) * (1 - driftShare))
+	if until := sentAt.Add(term); until.After(k.lease.until) {
+		k.lease.until = until
+	}
+}
+
+// renewalConflict goes on from the row as it stands: an own renewal that had no answer, or one of a former run.
+func (k *Keeper) renewalConflict(rows []ibisstore.Row, now time.Time) {
+	key := k.leaseKey(k.config.Node)
+	var current ibisstore.Row
+	for _, row := range rows {
+		if row.Key == key && !row.Removed {
+			current = row
+		}
+	}
+	k.lease.version = current.Version
+	for _, lost := range k.lease.lost {
+		if current.Version != 0 && string(current.Value) == lost.writer {
+			k.extend(lost.sentAt, now)
+			return
+		}
+	}
+	k.lease.until = time.Time{}
+	k.pageStale = true
+}
+
+// takeLeases notes since when, by the store's clock, each lease has stood unchanged.
+func (k *Keeper) takeLeases(snapshot ibisstore.Snapshot, now time.Time) {
+	k.leasesAt = now
+	seen := make(map[ibisid.NodeName]peerLease)
+	for _, row := range snapshot.Rows {
+		node := ibisid.NodeName(row.Key.Name)
+		p := peerLease{
+			version: row.Version,
+			since:   snapshot.Clock,
+			seenAt:  snapshot.Clock,
+		}
+		if known, ok := k.peers[node]; ok && known.version == row.Version {
+			p.since = known.since
+		}
+		seen[node] = p
+	}
+	for _, r := range k.page.Ranges {
+		k.takeAbsence(seen, r.Owner.Node, snapshot.Clock)
+	}
+	k.peers = seen
+}
+
+// takeAbsence notes since when a node that owns ranges has had no lease.
+func (k *Keeper) takeAbsence(seen map[ibisid.NodeName]peerLease, node ibisid.NodeName, clock time.Duration) {
+	if _, ok := seen[node]; ok {
+		return
+	}
+	p := peerLease{
+		since:  clock,
+		seenAt: clock,
+	}
+	if known, ok := k.peers[node]; ok && known.version == 0 {
+		p.since = known.since
+	}
+	seen[node] = p
+}
+
+// lapsed reports whether no grant under the lease can still stand.
+func (k *Keeper) lapsed(p peerLease) bool {
+	return p.seenAt-p.since >= k.config.LeaseTerm+takeoverSlack
+}
+
+// alive reports whether a node renewed its lease lately.
+func (k *Keeper) alive(node ibisid.NodeName) bool {
+	if node == k.config.Node {
+		return true
+	}
+	p, ok := k.peers[node]
+	return ok && p.version != 0 && p.seenAt-p.since < 3*k.config.RenewEvery
+}
--- /dev/null
+++ b/internal/relay/ibiskeep/page.go
@@ -0,0 +1,131 @@
+package ibiskeep
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+)
+
+// Keys is the number of keys that a service is divided into.
+const Keys = 1 << 16
+
+// Span is a run of keys, both ends included.
+type Span struct {
+	// From is the first key.
+	From int `json:"from"`
+	// To is the last key.
+	To int `json:"to"`
+}
+
+// Width returns the number of keys.
+func (s Span) Width() int { return s.To - s.From + 1 }
+
+// Overlaps reports whether the spans share a key.
+func (s Span) Overlaps(other Span) bool { return s.From <= other.To && other.From <= s.To }
+
+// Owner is a backend server with the node beside it.
+type Owner struct {
+	// Node is the node.
+	Node ibisid.NodeName `json:"node"`
+	// Life is the run of the backend server.
+	Life ibisroster.Life `json:"life"`
+}
+
+// Range is a span of keys with its owner.
+type Range struct {
+	Span
+	// Owner owns the keys.
+	Owner Owner `json:"owner"`
+	// Token is the fencing token; it rises with every change of owner.
+	Token ibisid.Token `json:"token"`
+	// Handover is what the last owner's backend server handed out when it released the keys; empty where it didn't.
+	Handover string `json:"handover,omitempty"`
+	// Next is the node that the owner is asked to give the keys to; empty where they stay.
+	Next ibisid.NodeName `json:"next,omitempty"`
+}
+
+// Page is the ranges of a service in order; together they hold every key.
+type Page struct {
+	// Ranges lists the ranges by key.
+	Ranges []Range `json:"ranges"`
+}
+
+// Encode returns the page as the content of its row.
+func (p Page) Encode() []byte {
+	value, err := json.Marshal(p)
+	if err != nil {
+		panic(fmt.Sprintf("page can't be encoded: %v", err))
+	}
+	return value
+}
+
+// DecodePage reads the content of a page's row; it fails where ranges are missing or overlap.
+func DecodePage(value []byte) (Page, error) {
+	var p Page
+	if err := json.Unmarshal(value, &p); err != nil {
+		return Page{}, fmt.Errorf("row of a page: %w", err)
+	}
+	next := 0
+	for _, r := range p.Ranges {
+		if r.From != next || r.To < r.From {
+			return Page{}, fmt.Errorf("row of a page: a range runs from %d to %d where one must begin at %d", r.From, r.To, next)
+		}
+		next = r.To + 1
+	}
+	if next != Keys {
+		return Page{}, fmt.Errorf("row of a page: its ranges end at %d and must end at %d", next, Keys)
+	}
+	return p, nil
+}
+
+// Find returns the range that holds the key.
+func (p Page) Find(key int) (Range, bool) {
+	i, found := slices.BinarySearchFunc(p.Ranges, key, func(r Range, k int) int {
+		switch {
+		case r.To < k:
+			return -1
+		case r.From > k:
+			return 1
+		}
+		return 0
+	})
+	if !found {
+		return Range{}, false
+	}
+	return p.Ranges[i], true
+}
+
+func (p Page) clone() Page {
+	return Page{
+		Ranges: slices.Clone(p.Ranges),
+	}
+}
+
+// shares returns the number of keys of each node, counting those on their way for their next one.
+func (p Page) shares() map[ibisid.NodeName]int {
+	out := make(map[ibisid.NodeName]int)
+	for _, r := range p.Ranges {
+		out[r.heir()] += r.Width()
+	}
+	return out
+}
+
+// heir returns the node that has the range once planned moves are through.
+func (r Range) heir() ibisid.NodeName {
+	if r.Next != "" {
+		return r.Next
+	}
+	return r.Owner.Node
+}
+
+// hand returns the range with a new owner.
+func (r Range) hand(to Owner, handover string) Range {
+	r.Owner = to
+	r.Token++
+	r.Handover = handover
+	r.Next = ""
+	return r
+}
--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -24,6 +24,10 @@
 		g.refuse(e.ID, ReasonDeadline, max(wait, minRetryAfter))
 		return
 	}
+	if wait > 0 && g.late(q, e.Target, wait, now) {
+		g.refuse(e.ID, ReasonTarget, max(wait, minRetryAfter))
+		return
+	}
 	if q.length >= q.policy.queueLength() && !g.makeRoom(q, e, tenant.weight(), now) {
 		g.refuse(e.ID, ReasonQueueFull, max(wait, minRetryAfter))
 		return
@@ -82,7 +86,7 @@
 		}
 		wait += float64(other.length) * g.hold(other.name).mean.Value() / float64(limit)
 	}
-	return time.Duration(wait)
+	return max(time.Duration(wait), g.cold.wait(ahead+1+g.aheadOfClass(q), now))
 }
 
 func (g *Gate) aheadOfClass(q *classQueue) int {
--- a/internal/request/ibisadmit/dispatch.go
+++ b/internal/request/ibisadmit/dispatch.go
@@ -22,6 +22,7 @@
 		g.open++
 	}
 	q.running++
+	g.cold.admitted(now)
 	g.running[w.id] = admitted{
 		queue: q,
 		at:    now,
@@ -33,6 +34,9 @@
 }
 
 func (g *Gate) hasRoom(q *classQueue, now time.Time) bool {
+	if g.cold.full(now) {
+		return false
+	}
 	limit := g.limit.bound(now)
 	return len(g.running) < limit && q.running < g.classBound(q, limit)
 }
--- a/internal/request/ibisadmit/effect.go
+++ b/internal/request/ibisadmit/effect.go
@@ -23,6 +23,8 @@
 	ReasonQueueFull Reason = "queueFull"
 	// ReasonDeadline means that the request could not finish before its deadline.
 	ReasonDeadline Reason = "deadline"
+	// ReasonTarget means that the request would wait past its target time.
+	ReasonTarget Reason = "target"
 	// ReasonSlow means that the backend server answers far slower than usual and others may be faster.
 	ReasonSlow Reason = "slow"
 	// ReasonDraining means that the backend server is leaving.
--- a/internal/request/ibisadmit/event.go
+++ b/internal/request/ibisadmit/event.go
@@ -22,6 +22,9 @@
 	Class ibisid.ClassName
 	// Deadline is when the answer is of no more use; zero for none.
 	Deadline time.Time
+	// Target is when the answer is still worth most; a request that would come too late by waiting is refused on arrival,
+	// where it is no loss to come back. Zero for none.
+	Target time.Time
 }
 
 // FinishEvent is the end of an admitted request.
@@ -55,7 +58,13 @@
 }
 
 // ColdEvent says that the backend server announced a cold start.
-type ColdEvent struct{}
+type ColdEvent struct {
+	// PerSecond is the number of requests that the cold server bears in any second; zero where it isn't known, and then
+	// the limit ramps up over the cold start.
+	PerSecond int
+	// For is how long the server stays cold where PerSecond is known; zero ends the cold start.
+	For time.Duration
+}
 
 // DrainEvent ends admission for good: what waits is refused, what runs finishes, then DrainedEffect follows.
 type DrainEvent struct{}
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -33,6 +33,7 @@
 	draining bool
 	drained  bool
 	out      bool
+	cold     coldBound
 	effects  []Effect
 }
 
@@ -101,7 +102,7 @@
 	case IdleClosedEvent:
 		g.open = max(len(g.running), g.open-e.Count)
 	case ColdEvent:
-		g.turnCold(now)
+		g.turnCold(e, now)
 	case DrainEvent:
 		g.draining = true
 		g.refuseAll(ReasonDraining)
@@ -180,7 +181,12 @@
 	g.limit.startRamp(span, now)
 }
 
-func (g *Gate) turnCold(now time.Time) {
+func (g *Gate) turnCold(e ColdEvent, now time.Time) {
+	if e.PerSecond > 0 {
+		g.cold.set(e, now)
+		g.shed(now)
+		return
+	}
 	g.limit.startRamp(g.config.ColdStart, now)
 	g.shed(now)
 }
