A gate admits nothing before it knows how much a cold server bears

Ruled out: the count in the gate itself (1.1 s span, 15 a second). Change: the guard keeps how long its server is cold and the operators' rules apart, and admits only with both.

--- a/internal/relay/ibisguard/guard.go
+++ b/internal/relay/ibisguard/guard.go
@@ -52,17 +52,16 @@
 	clock     ibistimer.Service
 	log       *zap.Logger
 
-	mu       sync.Mutex
-	server   ibisroster.Server
-	sharded  bool
-	out      bool
-	stopping bool
-	gate     *ibisadmit.Gate
-	policy   ibisadmit.Policy
-	nextID   ibisadmit.RequestID
-	waiting  map[ibisadmit.RequestID]chan verdict
-	ticking  bool
-	figures  Figures
+	mu        sync.Mutex
+	server    ibisroster.Server
+	rules     *Rules
+	coldUntil time.Time
+	stopping  bool
+	gate      *ibisadmit.Gate
+	nextID    ibisadmit.RequestID
+	waiting   map[ibisadmit.RequestID]chan verdict
+	ticking   bool
+	figures   Figures
 }
 
 // Figures counts what the guard decided since its start.
@@ -95,59 +94,93 @@
 	}
 }
 
-// Meet takes in what the backend server says of itself; a new life gets a new gate.
-func (g *Guard) Meet(server ibisroster.Server, coldFor time.Duration, coldPerSecond float64, connections int) {
+// Rules is what the operators say of the backend server's service and place.
+type Rules struct {
+	// Policy orders the request classes.
+	Policy ibisadmit.Policy
+	// Sharded says that the service is divided by key.
+	Sharded bool
+	// Out says that the own failure domain takes no work.
+	Out bool
+	// Connections is the number of connections that a backend server takes.
+	Connections int
+	// ColdPerSecond is the number of requests a second that a cold backend server bears; zero for no bound.
+	ColdPerSecond float64
+	// ColdStart is how long a backend server is cold after its start.
+	ColdStart time.Duration
+}
+
+// Meet takes in what the backend server says of itself and how much longer it is cold; a new life gets a new gate.
+func (g *Guard) Meet(server ibisroster.Server, coldFor time.Duration) {
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if server.Life != g.server.Life || server.Slots != g.server.Slots {
-		g.replaceGate(server, connections, now)
-	}
+	g.coldUntil = now.Add(coldFor)
+	fresh := server.Life != g.server.Life || server.Slots != g.server.Slots
 	g.server = server
+	if g.rules == nil {
+		return
+	}
+	if fresh || g.gate == nil {
+		g.replaceGate(now)
+	}
 	if server.State == ibisroster.StateLeaving {
 		g.apply(ibisadmit.DrainEvent{}, now)
 	}
-	if coldPerSecond > 0 && g.gate != nil {
-		g.apply(ibisadmit.ColdEvent{PerSecond: int(math.Ceil(coldPerSecond * coldHeadroom)), For: coldFor}, now)
-	}
+	g.applyCold(now)
 }
 
 // replaceGate refuses what waits at the old gate and begins with a new one.
-func (g *Guard) replaceGate(server ibisroster.Server, connections int, now time.Time) {
+func (g *Guard) replaceGate(now time.Time) {
 	if g.gate != nil {
 		g.apply(ibisadmit.DrainEvent{}, now)
 	}
 	g.gate = ibisadmit.New(ibisadmit.Config{
-		Slots:       server.Slots,
-		Connections: connections,
+		Slots:       g.server.Slots,
+		Connections: max(g.rules.Connections, g.server.Slots),
 		Law:         ibisadmit.LawFixed,
-		KeepQueue:   g.sharded,
-		Policy:      g.policy,
+		KeepQueue:   g.rules.Sharded,
+		Policy:      g.rules.Policy,
 	}, now)
 }
 
-// Govern replaces what the operators say: the policy, whether the service is divided by key, and whether the own failure
-// domain is taken out. A domain that comes back is taken for cold until its server says otherwise.
-func (g *Guard) Govern(policy ibisadmit.Policy, sharded, out bool, coldFor time.Duration, coldPerSecond float64) {
+// applyCold bounds admission while the backend server is cold.
+func (g *Guard) applyCold(now time.Time) {
+	if g.rules.ColdPerSecond > 0 {
+		g.apply(ibisadmit.ColdEvent{
+			PerSecond: int(math.Ceil(g.rules.ColdPerSecond * coldHeadroom)),
+			For:       g.coldUntil.Sub(now),
+		}, now)
+	}
+}
+
+// Govern replaces the rules. Without rules nothing is admitted, since a cold backend server's bound is one of them. A
+// domain that comes back is taken for cold until its server says otherwise.
+func (g *Guard) Govern(rules Rules) {
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.policy, g.sharded = policy, sharded
-	if g.gate != nil {
-		g.apply(ibisadmit.PolicyEvent{Policy: policy}, now)
-	}
-	if out == g.out {
+	before := g.rules
+	g.rules = &rules
+	if g.server.Life.IsZero() {
 		return
 	}
-	g.out = out
 	if g.gate == nil {
-		return
+		g.replaceGate(now)
+		if g.server.State == ibisroster.StateLeaving {
+			g.apply(ibisadmit.DrainEvent{}, now)
+		}
+	} else {
+		g.apply(ibisadmit.PolicyEvent{Policy: rules.Policy}, now)
 	}
-	if out {
+	wasOut := before != nil && before.Out
+	if rules.Out && !wasOut {
 		g.refuseWaiting(ibisadmit.ReasonDomainOut)
-	} else if coldPerSecond > 0 {
-		g.apply(ibisadmit.ColdEvent{PerSecond: int(math.Ceil(coldPerSecond * coldHeadroom)), For: coldFor}, now)
 	}
+	if back := now.Add(rules.ColdStart); wasOut && !rules.Out && back.After(g.coldUntil) {
+		g.coldUntil = back
+	}
+	g.applyCold(now)
 }
 
 // refuseWaiting sends everything back that waits.
@@ -258,7 +291,7 @@
 // checkKey reports whether the backend server holds the order's key now.
 func (g *Guard) checkKey(order ibisorder.Order) (ibisorder.Answer, bool) {
 	g.mu.Lock()
-	sharded := g.sharded
+	sharded := g.rules != nil && g.rules.Sharded
 	g.mu.Unlock()
 	if !sharded || order.Key == ibisorder.NoKey {
 		return ibisorder.Answer{}, true
@@ -351,11 +384,13 @@
 
 func (g *Guard) precheck(order ibisorder.Order) (ibisorder.Answer, bool) {
 	switch {
+	case g.rules == nil:
+		return ibisorder.NotRun(ibisorder.ReasonNoConfig, 0, nil), false
 	case g.gate == nil || g.server.Service != order.Service || order.Server != "" && order.Server != g.server.Life.ID:
 		return ibisorder.NotRun(ibisorder.ReasonOtherServer, 0, nil), false
 	case g.stopping:
 		return ibisorder.NotRun(ibisorder.ReasonStopping, 0, nil), false
-	case g.out:
+	case g.rules.Out:
 		return ibisorder.NotRun(ibisorder.Reason(ibisadmit.ReasonDomainOut), 0, nil), false
 	}
 	return ibisorder.Answer{}, true
