--- a/internal/relay/ibiskeep/plan.go
+++ b/internal/relay/ibiskeep/plan.go
@@ -127,7 +127,7 @@
 // behind wait, so that mostly one tries.
 func (k *Keeper) coordinate(now time.Time) {
 	if !k.pageKnown {
-		if !k.server.firstBeat.IsZero() && now.Sub(k.server.firstBeat) >= settleBeats*k.config.Heartbeat && k.myTurn(now) {
+		if k.gathered(now) && k.myTurn(now) {
 			k.create()
 		}
 		return
@@ -168,6 +168,21 @@
 	return true
 }
 
+// gathered reports whether the service has had time to gather and the leases were read since, so that the first division
+// leaves nobody out. It asks for the leases where they weren't.
+func (k *Keeper) gathered(now time.Time) bool {
+	s := &k.server
+	settled := s.firstBeat.Add(settleBeats * k.config.Heartbeat)
+	if s.firstBeat.IsZero() || now.Before(settled) {
+		return false
+	}
+	if k.leasesAt.Before(settled) {
+		k.leasesAt = time.Time{}
+		return false
+	}
+	return true
+}
+
 func (k *Keeper) create() {
 	owners := k.owners()
 	if len(owners) == 0 {
--- /dev/null
+++ b/internal/relay/ibiskeep/suite_test.go
@@ -0,0 +1,13 @@
+package ibiskeep_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestKeep(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ibiskeep")
+}
