--- a/internal/relay/ibiskeep/world_test.go
+++ b/internal/relay/ibiskeep/world_test.go
@@ -335,7 +335,9 @@
 	return effects
 }
 
-func (w *world) delay() time.Duration { return time.Duration(w.random.Int64N(int64(30 * time.Millisecond))) }
+func (w *world) delay() time.Duration {
+	return time.Duration(w.random.Int64N(int64(30 * time.Millisecond)))
+}
 
 // back hands the store's answer to the same run of the node, once it isn't frozen.
 func (w *world) back(n *node, boot int, e ibiskeep.Event) {
