--- a/internal/request/ibischoose/candidate.go
+++ b/internal/request/ibischoose/candidate.go
@@ -41,8 +41,7 @@
 	ratio        ibislatency.Mean
 	peak         float64
 	peakAt       time.Time
-	blockedUntil time.Time
-	refusals     int
+	blocks       map[ibisid.ClassName]block
 	asideUntil   time.Time
 	asideTimes   int
 	asideEnded   time.Time
@@ -53,6 +52,16 @@
 	gateLoadAt   time.Time
 }
 
+// block keeps requests of one class, or of all, away from a candidate for a while.
+type block struct {
+	until    time.Time
+	refusals int
+}
+
+// allClasses is the class of blocks after a failure, which says as much of one class as of another; a refusal holds for
+// the class that was refused, since a gate that has no room for one class may have room for a more urgent one.
+const allClasses = ibisid.ClassName("")
+
 type sent struct {
 	at    time.Time
 	class ibisid.ClassName
@@ -107,9 +116,14 @@
 	return s.gateLoad >= fullLoad && now.Sub(s.gateLoadAt) < gateLoadLife
 }
 
-// usable reports whether the candidate takes a request now.
-func (s *state) usable(now time.Time) bool {
-	if now.Before(s.blockedUntil) || now.Before(s.asideUntil) {
+// blocked reports whether requests of the class are kept away.
+func (s *state) blocked(class ibisid.ClassName, now time.Time) bool {
+	return now.Before(s.blocks[class].until) || now.Before(s.blocks[allClasses].until)
+}
+
+// usable reports whether the candidate takes a request of the class now.
+func (s *state) usable(class ibisid.ClassName, now time.Time) bool {
+	if s.blocked(class, now) || now.Before(s.asideUntil) {
 		return false
 	}
 	if s.probation > 0 {
@@ -118,10 +132,25 @@
 	return len(s.outstanding) < max(1, s.Slots)
 }
 
-func (s *state) refused(now time.Time, retryAfter time.Duration) {
-	s.refusals++
-	span := min(longestBackoff, firstBackoff<<min(s.refusals-1, 10))
-	s.blockedUntil = now.Add(min(longestBackoff, max(span, retryAfter)))
+func (s *state) refused(class ibisid.ClassName, now time.Time, retryAfter time.Duration) {
+	b := s.blocks[class]
+	b.refusals++
+	span := min(longestBackoff, firstBackoff<<min(b.refusals-1, 10))
+	b.until = now.Add(min(longestBackoff, max(span, retryAfter)))
+	if s.blocks == nil {
+		s.blocks = make(map[ibisid.ClassName]block)
+	}
+	s.blocks[class] = b
+}
+
+// accepted makes the next backoff of the class short again, and that after a failure too.
+func (s *state) accepted(class ibisid.ClassName) {
+	for _, c := range []ibisid.ClassName{class, allClasses} {
+		if b, ok := s.blocks[c]; ok {
+			b.refusals = 0
+			s.blocks[c] = b
+		}
+	}
 }
 
 // setAside keeps requests away for a time that doubles when it happens again soon.
--- a/internal/request/ibischoose/choice.go
+++ b/internal/request/ibischoose/choice.go
@@ -118,7 +118,7 @@
 			}
 			known++
 			switch {
-			case !s.usable(now):
+			case !s.usable(r.Class, now):
 			case tier >= tierRemote && !c.affordable(s.Place.Region, now):
 				budgeted = true
 			case s.saturated(now):
--- a/internal/request/ibischoose/chooser.go
+++ b/internal/request/ibischoose/chooser.go
@@ -135,8 +135,10 @@
 	switch e.Result {
 	case ResultDone:
 		c.answered(s, begun, e.Latency, now)
-	case ResultRefused, ResultFailed:
-		s.refused(now, e.RetryAfter)
+	case ResultRefused:
+		s.refused(begun.class, now, e.RetryAfter)
+	case ResultFailed:
+		s.refused(allClasses, now, e.RetryAfter)
 	case ResultCancelled:
 		c.cancelled(s, begun, now)
 	}
@@ -145,7 +147,7 @@
 func (c *Chooser) answered(s *state, begun sent, latency time.Duration, now time.Time) {
 	ratio := c.baseline.Ratio(begun.class, latency)
 	c.baseline.Add(begun.class, latency)
-	s.refusals = 0
+	s.accepted(begun.class)
 	s.seen(ratio, now)
 	if s.probation > 0 && ratio < asideRatio {
 		s.probation--
