Late requests queue behind those in time, and a full gate is asked no second time once a refusal would come late

Change: a request's age is told from its patience; what can't meet its target waits behind what can, or is refused if it would wait for longer than it runs and no less urgent class runs; backoff after a refusal 100 ms; another gate is asked only while a sixteenth of the target has not passed.

--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -20,6 +20,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
+	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 	"github.com/ibisridge/ibisridge/internal/request/ibischoose"
 )
 
@@ -37,6 +38,9 @@
 	retrySpread = 0.3
 	// retryFloor is what a second try needs: time for a round trip between regions and some work.
 	retryFloor = 60 * time.Millisecond
+	// refusalShare of a target may pass before another gate is asked after one was full: with a round trip between
+	// regions on top, a refusal is still out within an eighth of usual targets.
+	refusalShare = 16
 )
 
 // Peers sends an order to a node, the own one included.
@@ -71,6 +75,8 @@
 	random   *rand.Rand
 	nextID   ibischoose.RequestID
 	down     ibisset.Set[ibisid.NodeName]
+	// longest is the longest that callers of each class were seen to wait, which is what they wait on their first attempt.
+	longest map[ibisid.ClassName]time.Duration
 }
 
 // pageView is a page with the version of its row.
@@ -92,6 +98,7 @@
 		splitter: ibisroute.NewSplitter(),
 		random:   random,
 		down:     make(ibisset.Set[ibisid.NodeName]),
+		longest:  make(map[ibisid.ClassName]time.Duration),
 	}
 }
 
@@ -277,15 +284,29 @@
 		target = span
 	}
 	f.retries.earn()
+	age := f.ageOf(route, r.Patience)
 	return plan{
 		route:    route,
 		config:   f.config,
 		service:  service,
-		target:   r.Arrived.Add(min(target, span)),
+		target:   r.Arrived.Add(min(target-age, span)),
 		deadline: r.Arrived.Add(span),
+		arrived:  r.Arrived,
 	}, ibisorder.Answer{}, true
 }
 
+// ageOf returns for how long a caller has been trying already: what it waits now falls short of what callers of the class
+// wait on their first attempt. Its target counts from then; f.mu is held.
+func (f *Front) ageOf(route *ibisroute.Route, patience time.Duration) time.Duration {
+	if patience <= 0 {
+		return 0
+	}
+	if patience > f.longest[route.Name] {
+		f.longest[route.Name] = patience
+	}
+	return f.longest[route.Name] - patience
+}
+
 // pursue sends an order until it has an answer that is final.
 func (f *Front) pursue(ctx context.Context, p plan, order ibisorder.Order) ibisorder.Answer {
 	var asked []ibisid.NodeName
@@ -332,7 +353,8 @@
 	case p.deadline.Sub(f.clock.Now()) < retryFloor:
 		return false
 	case last.Outcome == ibisid.OutcomeNotRun && !last.Arrived:
-		return true
+		// Where gates are full elsewhere will be too: the caller hears so while that is no loss yet.
+		return !forLoad(last.Reason) || f.clock.Now().Sub(p.arrived) < p.route.Target/refusalShare
 	case last.Outcome == ibisid.OutcomeUnknown && !order.Repeatable:
 		return false
 	case arrivals >= p.route.MaxAttempts:
@@ -343,6 +365,15 @@
 	return f.retries.spend()
 }
 
+// forLoad reports whether a gate refused because of the load on it.
+func forLoad(r ibisorder.Reason) bool {
+	switch r {
+	case ibisorder.Reason(ibisadmit.ReasonTarget), ibisorder.Reason(ibisadmit.ReasonQueueFull), ibisorder.Reason(ibisadmit.ReasonDeadline):
+		return true
+	}
+	return false
+}
+
 // spread lengthens a time to come back by a random share; f.mu is held.
 func (f *Front) spread(d time.Duration) time.Duration {
 	return d + time.Duration(f.random.Float64()*retrySpread*float64(d))
--- a/internal/relay/ibisfront/request.go
+++ b/internal/relay/ibisfront/request.go
@@ -67,6 +67,7 @@
 	service  ibisroute.Service
 	target   time.Time
 	deadline time.Time
+	arrived  time.Time
 }
 
 // order makes an order of a request.
--- a/internal/relay/ibisguard/guard.go
+++ b/internal/relay/ibisguard/guard.go
@@ -315,7 +315,7 @@
 	if ok || refusal.Reason != ibisorder.ReasonKeyMoving {
 		return refusal, ok
 	}
-	limit := min(comingWait, order.Target.Sub(g.clock.Now())/2)
+	limit := min(comingWait, order.Deadline.Sub(g.clock.Now())/2)
 	if limit <= 0 {
 		return refusal, false
 	}
--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -17,16 +17,20 @@
 		g.refuse(e.ID, ReasonSlow, slowRetryAfter)
 		return
 	}
-	q := g.queue(e.Class)
+	q := g.queue(e.Class, false)
 	tenant := g.config.Policy.Tenants[e.Tenant]
 	wait := g.estimateWait(q, q.ahead(e.Tenant, tenant.weight()), now)
 	if g.late(q, e.Deadline, wait, now) {
 		g.refuse(e.ID, ReasonDeadline, max(wait, minRetryAfter))
 		return
 	}
-	if wait > 0 && g.late(q, e.Target, wait, now) {
-		g.refuse(e.ID, ReasonTarget, max(wait, minRetryAfter))
-		return
+	if g.late(q, e.Target, wait, now) {
+		q = g.queue(e.Class, true)
+		wait = g.estimateWait(q, q.ahead(e.Tenant, tenant.weight()), now)
+		if g.hopeless(q, e.Deadline, wait, now) {
+			g.refuse(e.ID, ReasonTarget, max(wait, minRetryAfter))
+			return
+		}
 	}
 	if q.length >= q.policy.queueLength() && !g.makeRoom(q, e, tenant.weight(), now) {
 		g.refuse(e.ID, ReasonQueueFull, max(wait, minRetryAfter))
@@ -43,6 +47,26 @@
 	}, tenant.weight())
 }
 
+// hopeless reports whether a request that comes late anyway is not worth a place in the queue: it would wait for longer
+// than it runs, in a class that has no less urgent one to take slots from. What is sent away at once can still be
+// served elsewhere or later; room goes to requests that are not late yet.
+func (g *Gate) hopeless(q *classQueue, deadline time.Time, wait time.Duration, now time.Time) bool {
+	if g.late(q, deadline, wait, now) {
+		return true
+	}
+	return wait > g.hold(q.name).expected(now) && !g.lessUrgentBusy(q)
+}
+
+// lessUrgentBusy reports whether requests of a less urgent class run or wait.
+func (g *Gate) lessUrgentBusy(q *classQueue) bool {
+	for _, other := range g.queues {
+		if other.policy.Priority < q.policy.Priority && (other.length > 0 || other.running > 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // makeRoom refuses the newest request of a tenant that holds more of the queue than the new request's tenant.
 func (g *Gate) makeRoom(q *classQueue, e ArriveEvent, weight float64, now time.Time) bool {
 	w, ok := q.displace(e.Tenant, weight)
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -25,7 +25,7 @@
 	config   Config
 	limit    *limiter
 	queues   []*classQueue
-	byClass  map[ibisid.ClassName]*classQueue
+	byClass  map[queueKey]*classQueue
 	running  map[RequestID]admitted
 	holds    map[ibisid.ClassName]*hold
 	rates    map[ibisid.TenantName]*rate.Limiter
@@ -37,6 +37,12 @@
 	effects  []Effect
 }
 
+// queueKey names a queue.
+type queueKey struct {
+	class ibisid.ClassName
+	late  bool
+}
+
 type admitted struct {
 	queue *classQueue
 	at    time.Time
@@ -52,7 +58,7 @@
 	g := &Gate{
 		config:  config,
 		limit:   newLimiter(config.Law, slots, config.ColdStart),
-		byClass: make(map[ibisid.ClassName]*classQueue),
+		byClass: make(map[queueKey]*classQueue),
 		running: make(map[RequestID]admitted),
 		holds:   make(map[ibisid.ClassName]*hold),
 	}
@@ -122,7 +128,10 @@
 func (g *Gate) setPolicy(p Policy) {
 	g.config.Policy = p
 	for _, name := range slices.Sorted(maps.Keys(p.Classes)) {
-		g.queue(name).policy = p.Classes[name]
+		g.queue(name, false).policy = p.Classes[name]
+		if late := g.byClass[queueKey{class: name, late: true}]; late != nil {
+			late.policy = p.Classes[name]
+		}
 	}
 	g.sortQueues()
 	g.setRates(p)
@@ -144,15 +153,22 @@
 	}
 }
 
-func (g *Gate) queue(name ibisid.ClassName) *classQueue {
-	q := g.byClass[name]
+// queue returns the queue of a class, for requests that can meet their target or for late ones.
+func (g *Gate) queue(name ibisid.ClassName, late bool) *classQueue {
+	key := queueKey{
+		class: name,
+		late:  late,
+	}
+	q := g.byClass[key]
 	if q != nil {
 		return q
 	}
 	q = &classQueue{
-		name: name,
+		name:   name,
+		late:   late,
+		policy: g.config.Policy.Classes[name],
 	}
-	g.byClass[name] = q
+	g.byClass[key] = q
 	g.queues = append(g.queues, q)
 	g.sortQueues()
 	return q
@@ -160,10 +176,25 @@
 
 func (g *Gate) sortQueues() {
 	slices.SortFunc(g.queues, func(a, b *classQueue) int {
-		return cmp.Or(cmp.Compare(b.policy.Priority, a.policy.Priority), cmp.Compare(a.name, b.name))
+		return cmp.Or(
+			cmp.Compare(b.policy.Priority, a.policy.Priority),
+			compareLate(a.late, b.late),
+			cmp.Compare(a.name, b.name),
+		)
 	})
 }
 
+// compareLate puts what can meet its target before what can't.
+func compareLate(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 func (g *Gate) setDomain(e DomainEvent, now time.Time) {
 	if e.Out {
 		g.out = true
--- a/internal/request/ibisadmit/queue.go
+++ b/internal/request/ibisadmit/queue.go
@@ -24,9 +24,11 @@
 	items  []waiting
 }
 
-// classQueue is start-time fair queueing between the tenants of one class.
+// classQueue is start-time fair queueing between the tenants of one class, either for requests that can still meet their
+// target or for those that come late anyway.
 type classQueue struct {
 	name    ibisid.ClassName
+	late    bool
 	policy  ClassPolicy
 	tenants []*tenantQueue
 	virtual float64
--- a/internal/request/ibischoose/candidate.go
+++ b/internal/request/ibischoose/candidate.go
@@ -13,6 +13,7 @@
 	probationOK     = 3
 	firstBackoff    = 50 * time.Millisecond
 	longestBackoff  = 500 * time.Millisecond
+	longestRefusal  = 100 * time.Millisecond
 	firstAside      = 500 * time.Millisecond
 	longestAside    = 2 * time.Second
 	hintLife        = 2 * time.Second
@@ -136,7 +137,11 @@
 	b := s.blocks[class]
 	b.refusals++
 	span := min(longestBackoff, firstBackoff<<min(b.refusals-1, 10))
-	b.until = now.Add(min(longestBackoff, max(span, retryAfter)))
+	longest := longestBackoff
+	if class != allClasses {
+		longest = longestRefusal
+	}
+	b.until = now.Add(min(longest, max(span, retryAfter)))
 	if s.blocks == nil {
 		s.blocks = make(map[ibisid.ClassName]block)
 	}
