--- /dev/null
+++ b/internal/standin/ibisapp/ledger.go
@@ -0,0 +1,146 @@
+package ibisapp
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Ledger notes what backend servers did and which promises were broken.
+type Ledger struct {
+	mu     sync.Mutex
+	runs   map[string]int
+	once   map[string]bool
+	served map[string]time.Time
+	tokens map[int]uint64
+	holds  map[*Server][]hold
+	broken []string
+	total  int
+}
+
+// tokenStep is the distance of the keys whose tokens are noted.
+const tokenStep = 64
+
+// NewLedger returns a ledger without entries.
+func NewLedger() *Ledger {
+	return &Ledger{
+		runs:   make(map[string]int),
+		once:   make(map[string]bool),
+		served: make(map[string]time.Time),
+		tokens: make(map[int]uint64),
+		holds:  make(map[*Server][]hold),
+	}
+}
+
+// Broken returns the promises that were broken, as texts that say where and when.
+func (l *Ledger) Broken() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.broken...)
+}
+
+// Report adds a broken promise that somebody else saw.
+func (l *Ledger) Report(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.report(format, args...)
+}
+
+func (l *Ledger) report(format string, args ...any) {
+	l.broken = append(l.broken, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// Runs returns how often a request has run.
+func (l *Ledger) Runs(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+// Total returns the number of runs.
+func (l *Ledger) Total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.total
+}
+
+// Refused notes that a caller was told that a request has not run and won't.
+func (l *Ledger) Refused(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.served[id] = time.Now()
+	if l.runs[id] > 0 && l.once[id] {
+		l.report("request %s was refused as not run, and has run", id)
+	}
+}
+
+// begin notes that a server begins to run a request.
+func (l *Ledger) begin(s *Server, id string, once bool, key int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.total++
+	l.runs[id]++
+	l.once[id] = once
+	if once && l.runs[id] > 1 {
+		l.report("request %s runs a second time, at %s", id, s.config.ID)
+	}
+	if _, refused := l.served[id]; refused && once {
+		l.report("request %s runs at %s after it was refused as not run", id, s.config.ID)
+	}
+	if key < 0 {
+		return
+	}
+	now := time.Now()
+	for other, holds := range l.holds {
+		if other == s || !other.Up() {
+			continue
+		}
+		for _, h := range holds {
+			if h.from <= key && key <= h.to && now.Before(h.until) {
+				l.report("key %d runs at %s while %s holds %d to %d", key, s.config.ID, other.config.ID, h.from, h.to)
+			}
+		}
+	}
+}
+
+// granted notes what a server holds now, and checks tokens and that nobody else holds it.
+func (l *Ledger) granted(s *Server, holds []hold) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holds[s] = append([]hold(nil), holds...)
+	now := time.Now()
+	for _, h := range holds {
+		for key := h.from; key <= h.to; key += tokenStep {
+			if l.tokens[key] > h.token {
+				l.report("%s takes key %d under token %d, after token %d", s.config.ID, key, h.token, l.tokens[key])
+				break
+			}
+			l.tokens[key] = h.token
+		}
+		for other, held := range l.holds {
+			if other == s || !other.Up() {
+				continue
+			}
+			for _, o := range held {
+				if h.from <= o.to && o.from <= h.to && now.Before(o.until) && now.Before(h.until) {
+					l.report("%s holds %d to %d while %s holds %d to %d", s.config.ID, h.from, h.to, other.config.ID, o.from, o.to)
+				}
+			}
+		}
+	}
+}
+
+// Held returns the number of keys that servers which are up hold.
+func (l *Ledger) Held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, now := 0, time.Now()
+	for s, holds := range l.holds {
+		for _, h := range holds {
+			if s.Up() && now.Before(h.until) {
+				n += h.to - h.from + 1
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/standin/ibisapp/server.go
@@ -0,0 +1,236 @@
+package ibisapp
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Config is what a backend server is.
+type Config struct {
+	// ID is the id that it goes by.
+	ID string
+	// Service is its service.
+	Service string
+	// Domain is its failure domain.
+	Domain string
+	// Address is where it takes requests.
+	Address string
+	// Control is where it sends heartbeats.
+	Control string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Queue is the number of requests that may wait for a slot.
+	Queue int
+	// Sharded says that it runs requests only for keys that it holds.
+	Sharded bool
+	// Heartbeat is the time between two heartbeats.
+	Heartbeat time.Duration
+	// Work is how long a request takes.
+	Work time.Duration
+	// Body is the length of an answer in bytes.
+	Body int
+}
+
+// Server is a running backend server.
+type Server struct {
+	config Config
+	ledger *Ledger
+	born   int64
+	http   *http.Server
+	slots  chan struct{}
+	done   context.Context
+	end    context.CancelFunc
+
+	mu       sync.Mutex
+	up       bool
+	leaving  bool
+	seq      uint64
+	waiting  int
+	holds    []hold
+	freed    [][3]any
+	ackedOut time.Time
+	beats    chan struct{}
+}
+
+// hold is a span of keys that a server holds.
+type hold struct {
+	from, to int
+	token    uint64
+	handover string
+	until    time.Time
+	busy     int
+	dropped  bool
+}
+
+// Start starts a backend server; it fails where its address is taken.
+func Start(config Config, ledger *Ledger) (*Server, error) {
+	listener, err := net.Listen("tcp4", config.Address)
+	if err != nil {
+		return nil, fmt.Errorf("backend server %s: %w", config.ID, err)
+	}
+	done, end := context.WithCancel(context.Background())
+	s := &Server{
+		config: config,
+		ledger: ledger,
+		born:   time.Now().UnixMilli(),
+		slots:  make(chan struct{}, config.Slots),
+		done:   done,
+		end:    end,
+		up:     true,
+		beats:  make(chan struct{}, 1),
+	}
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(listener) }()
+	go s.heartbeats()
+	return s, nil
+}
+
+// ID returns the id that the server goes by.
+func (s *Server) ID() string { return s.config.ID }
+
+// Up reports whether the server runs.
+func (s *Server) Up() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.up
+}
+
+// Crash ends the server at once.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	s.up = false
+	s.mu.Unlock()
+	s.end()
+	_ = s.http.Close()
+}
+
+// Drain makes the server say that it leaves.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.beatNow()
+}
+
+// Leave ends a drained server as planned.
+func (s *Server) Leave() {
+	_ = s.call(http.MethodDelete, nil, nil)
+	s.Crash()
+}
+
+// ServeHTTP runs a request, or says that it doesn't.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	w.Header().Set("Attempt-Id", id)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if want := r.Header.Get("Expected-Instance"); want != "" && want != s.config.ID {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	left, err := strconv.Atoi(r.Header.Get("Time-Remaining-Ms"))
+	if err != nil || id == "" {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	deadline := time.Now().Add(time.Duration(left) * time.Millisecond)
+	if !s.slot(r.Context(), deadline) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.slots }()
+	key, _ := strconv.Atoi(r.Header.Get("Shard-Key"))
+	if !s.config.Sharded {
+		key = -1
+	} else if !s.hold(key) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.ledger.begin(s, id, r.Method == http.MethodPost, key)
+	s.checkDrained(id)
+	s.work(w, r, id, len(body), deadline)
+	if key >= 0 {
+		s.letGo(key)
+	}
+}
+
+// checkDrained reports work that arrives long after the node acknowledged that the server leaves.
+func (s *Server) checkDrained(id string) {
+	const bound = 2500 * time.Millisecond
+	s.mu.Lock()
+	acked := s.ackedOut
+	s.mu.Unlock()
+	if !acked.IsZero() && time.Since(acked) > bound {
+		s.ledger.Report("request %s reaches %s %s after its leaving was acknowledged", id, s.config.ID, time.Since(acked))
+	}
+}
+
+// slot takes a slot, unless the queue is full or the caller leaves first.
+func (s *Server) slot(ctx context.Context, deadline time.Time) bool {
+	s.mu.Lock()
+	if s.waiting >= s.config.Queue {
+		s.mu.Unlock()
+		return false
+	}
+	s.waiting++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.waiting--
+		s.mu.Unlock()
+	}()
+	t := time.NewTimer(time.Until(deadline))
+	defer t.Stop()
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (s *Server) work(w http.ResponseWriter, r *http.Request, id string, received int, deadline time.Time) {
+	t := time.NewTimer(min(s.config.Work, time.Until(deadline)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.Context().Done():
+		return
+	case <-s.done.Done():
+		return
+	}
+	if time.Now().After(deadline) {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	w.Header().Set("Server-Seal", Seal(s.config.ID, id, s.config.Body))
+	w.Header().Set("Received", strconv.Itoa(received))
+	w.Header().Set("Content-Length", strconv.Itoa(s.config.Body))
+	_, _ = w.Write(Body(id, s.config.Body))
+}
+
+// Seal returns the signature of an answer.
+func Seal(server, id string, length int) string { return fmt.Sprintf("%s.%s.%d", server, id, length) }
+
+// Body returns the body that answers a request.
+func Body(id string, length int) []byte {
+	body := make([]byte, length)
+	for i := range body {
+		body[i] = 'a' + byte((i+len(id))%26)
+	}
+	copy(body, id)
+	return body
+}
--- /dev/null
+++ b/internal/standin/ibisrowstore/handler.go
@@ -0,0 +1,269 @@
+package ibisrowstore
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	maxBody     = 1 << 20
+	maxObject   = 8 << 20
+	longestWait = 30 * time.Second
+)
+
+// Server answers the store's calls over HTTP and does wrong what it was told to.
+type Server struct {
+	store  *Store
+	faults *faults
+	mux    *http.ServeMux
+}
+
+// NewServer returns a server of the store without faults; the seed decides which calls faults hit.
+func NewServer(store *Store, seed uint64) *Server {
+	s := &Server{
+		store: store,
+		faults: &faults{
+			random: rand.New(rand.NewPCG(seed, 1)),
+		},
+		mux: http.NewServeMux(),
+	}
+	s.mux.HandleFunc("POST /-/rows-tx", s.rowsTx)
+	s.mux.HandleFunc("GET /-/rows-get", s.rowsGet)
+	s.mux.HandleFunc("GET /-/rows-parts", s.rowsParts)
+	s.mux.HandleFunc("GET /-/rows-feed", s.rowsFeed)
+	s.mux.HandleFunc("PUT /-/blob-put/{id...}", s.blobPut)
+	s.mux.HandleFunc("GET /-/blob-get/{id...}", s.blobGet)
+	s.mux.HandleFunc("DELETE /-/blob-drop/{id...}", s.blobDrop)
+	s.mux.HandleFunc("GET /-/blob-list", s.blobList)
+	return s
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) { s.faults.set(f) }
+
+// Calls returns the number of calls that arrived.
+func (s *Server) Calls() uint64 {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	return s.faults.calls
+}
+
+// ServeHTTP answers a call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f := s.faults.draw(r.URL.Path == "/-/rows-tx")
+	if f.delay > 0 {
+		wait(r.Context(), f.delay)
+	}
+	switch f.down {
+	case DownSilent:
+		// Only a request that was read to its end lets the server notice that its caller has left.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	case DownReset:
+		reset(w)
+		return
+	case DownBusy:
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	case DownMany:
+		http.Error(w, "too many calls", http.StatusTooManyRequests)
+		return
+	case DownNot:
+	}
+	switch {
+	case f.lost:
+		s.mux.ServeHTTP(discard{}, r)
+		reset(w)
+	case f.late > 0:
+		body, _ := io.ReadAll(io.LimitReader(r.Body, maxBody))
+		time.AfterFunc(f.late, func() {
+			var t transaction
+			if json.Unmarshal(body, &t) == nil && t.fault() == "" {
+				s.store.apply(t)
+			}
+		})
+		reset(w)
+	default:
+		s.mux.ServeHTTP(w, r)
+	}
+}
+
+// discard takes an answer that is lost.
+type discard struct{}
+
+// Header returns headers that nobody reads.
+func (discard) Header() http.Header { return make(http.Header) }
+
+// Write drops the bytes.
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// WriteHeader drops the status.
+func (discard) WriteHeader(int) {}
+
+// reset ends the connection with a reset.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// rowsAnswer answers calls about rows.
+type rowsAnswer struct {
+	Rows    []row  `json:"rows"`
+	HasMore bool   `json:"hasMore"`
+	Ver     uint64 `json:"ver"`
+	NowMs   int64  `json:"nowMs"`
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Server) rowsTx(w http.ResponseWriter, r *http.Request) {
+	var t transaction
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&t); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if fault := t.fault(); fault != "" {
+		http.Error(w, fault, http.StatusBadRequest)
+		return
+	}
+	for _, key := range changed(t) {
+		if key.Table == "op" || key.Table == "servers" {
+			http.Error(w, "the table is the operator's", http.StatusForbidden)
+			return
+		}
+	}
+	version, current, ok := s.store.apply(t)
+	status := http.StatusOK
+	if !ok {
+		status = http.StatusPreconditionFailed
+	}
+	answer(w, status, rowsAnswer{Rows: current, Ver: version, NowMs: s.store.nowMs()})
+}
+
+func changed(t transaction) []rowKey {
+	keys := slices.Clone(t.Remove)
+	for _, write := range t.Writes {
+		keys = append(keys, write.rowKey)
+	}
+	return keys
+}
+
+func (s *Server) rowsGet(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	rows, more, version := s.store.get(q.Get("table"), q.Get("part"), q.Get("from"), q.Get("to"), limit)
+	answer(w, http.StatusOK, rowsAnswer{Rows: rows, HasMore: more, Ver: version, NowMs: s.store.nowMs()})
+}
+
+func (s *Server) rowsParts(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	answer(w, http.StatusOK, map[string][]string{"parts": s.store.parts(q.Get("table"), q.Get("after"))})
+}
+
+func (s *Server) rowsFeed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a version", http.StatusBadRequest)
+		return
+	}
+	ms, _ := strconv.Atoi(q.Get("waitMs"))
+	timeout := time.NewTimer(min(longestWait, time.Duration(ms)*time.Millisecond))
+	defer timeout.Stop()
+	for {
+		rows, version, next, lost := s.store.feed(q.Get("table"), after)
+		if lost {
+			http.Error(w, "the history is gone", http.StatusGone)
+			return
+		}
+		if len(rows) > 0 {
+			answer(w, http.StatusOK, rowsAnswer{Rows: rows, Ver: version, NowMs: s.store.nowMs()})
+			return
+		}
+		select {
+		case <-next:
+		case <-timeout.C:
+			answer(w, http.StatusOK, rowsAnswer{Rows: rows, Ver: version, NowMs: s.store.nowMs()})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) blobPut(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	id := r.PathValue("id")
+	if _, ok := s.store.objects[id]; ok && r.Header.Get("If-None-Match") == "*" {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	s.store.objects[id] = body
+}
+
+func (s *Server) blobGet(w http.ResponseWriter, r *http.Request) {
+	s.store.mu.Lock()
+	body, ok := s.store.objects[r.PathValue("id")]
+	s.store.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (s *Server) blobDrop(_ http.ResponseWriter, r *http.Request) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	delete(s.store.objects, r.PathValue("id"))
+}
+
+func (s *Server) blobList(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.store.mu.Lock()
+	var names []string
+	for name := range s.store.objects {
+		if strings.HasPrefix(name, q.Get("prefix")) && name > q.Get("after") {
+			names = append(names, name)
+		}
+	}
+	s.store.mu.Unlock()
+	slices.Sort(names)
+	const page = 1000
+	more := len(names) > page
+	answer(w, http.StatusOK, map[string]any{"names": names[:min(page, len(names))], "hasMore": more})
+}
