A fault soak: the real program as processes, faults from outside, promises checked by callers and backend servers

ibisridge soak runs nodes as processes of their own with stand-ins of store and backend servers and a proxy on every link.

--- /dev/null
+++ b/internal/measure/ibissoak/fault.go
@@ -0,0 +1,165 @@
+package ibissoak
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/ibisridge/ibisridge/internal/standin/ibisrowstore"
+)
+
+const (
+	longestGap   = 900 * time.Millisecond
+	longestFault = 5 * time.Second
+	drainTime    = 3 * time.Second
+)
+
+// injectAll injects faults one after the other, without waiting for the last one's end, until the context ends.
+func (s *soak) injectAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.inject(ctx)
+		s.sleep(ctx, time.Duration(s.random.Int64N(int64(longestGap))))
+	}
+	s.injected.Wait()
+}
+
+// span draws how long a fault lasts.
+func (s *soak) span() time.Duration {
+	return 300*time.Millisecond + time.Duration(s.random.Int64N(int64(longestFault)))
+}
+
+func (s *soak) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// note writes a fault down and remembers whom it may hold up.
+func (s *soak) note(n *node, lasts time.Duration, format string, args ...any) {
+	s.faults = append(s.faults, fmt.Sprintf("%6.2f s  ", time.Since(s.began).Seconds())+fmt.Sprintf(format, args...))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := time.Now().Add(lasts)
+	if n == nil {
+		s.upsetAll = until
+		return
+	}
+	// Requests at any node may be on their way to this one.
+	s.upset[n], s.upsetAll = until, until
+}
+
+// inject does one thing wrong.
+func (s *soak) inject(ctx context.Context) {
+	n := s.nodes[s.random.IntN(len(s.nodes))]
+	span := s.span()
+	switch s.random.IntN(12) {
+	case 0:
+		m := mode(1 + s.random.IntN(int(modes)-1))
+		s.note(n, span, "%s: link to the store in mode %d for %s", n.name, m, span)
+		s.during(ctx, span, func() { n.store.set(m) }, func() { n.store.set(modePass) })
+	case 1:
+		m := mode(1 + s.random.IntN(int(modes)-1))
+		s.note(n, span, "%s: link from nodes in mode %d for %s", n.name, m, span)
+		s.during(ctx, span, func() { n.peers.set(m) }, func() { n.peers.set(modePass) })
+	case 2:
+		s.note(n, 0, "%s: connections are reset", n.name)
+		n.peers.reset()
+		n.store.reset()
+	case 3:
+		s.note(n, time.Second, "%s: process is killed", n.name)
+		s.restart(n, syscall.SIGKILL)
+	case 4:
+		s.note(n, graceTime+time.Second, "%s: process is stopped as planned", n.name)
+		s.restart(n, syscall.SIGTERM)
+	case 5:
+		s.note(n, span, "%s: process is paused for %s", n.name, span)
+		s.during(ctx, span, func() { n.signal(syscall.SIGSTOP) }, func() { n.signal(syscall.SIGCONT) })
+	case 6:
+		s.note(n, 0, "%s: settings are to be read anew", n.name)
+		n.signal(syscall.SIGHUP)
+	case 7:
+		sameID := s.random.IntN(2) == 0
+		s.note(n, span, "%s: backend server crashes, down for %s, same id: %t", n.name, span, sameID)
+		s.during(ctx, span, func() { n.current().Crash() }, func() { s.reborn(n, sameID) })
+	case 8:
+		s.note(n, drainTime, "%s: backend server drains and is replaced", n.name)
+		s.during(ctx, drainTime, func() { n.current().Drain() }, func() {
+			n.current().Leave()
+			s.reborn(n, false)
+		})
+	case 9:
+		f := s.storeFault()
+		s.note(nil, span, "store: %+v for %s", f, span)
+		s.during(ctx, span, func() { s.server.SetFaults(f) }, func() { s.server.SetFaults(ibisrowstore.Faults{}) })
+	case 10:
+		s.note(nil, 0, "store: history is forgotten")
+		s.store.Forget()
+	case 11:
+		first := 1 + s.random.IntN(99)
+		s.note(nil, 0, "configuration changes")
+		s.configure(first, 100-first)
+	}
+}
+
+func (s *soak) storeFault() ibisrowstore.Faults {
+	downs := []ibisrowstore.Down{ibisrowstore.DownSilent, ibisrowstore.DownReset, ibisrowstore.DownBusy, ibisrowstore.DownMany}
+	switch s.random.IntN(4) {
+	case 0:
+		return ibisrowstore.Faults{DelayMs: 100 + s.random.IntN(400)}
+	case 1:
+		return ibisrowstore.Faults{Lost: 0.4}
+	case 2:
+		return ibisrowstore.Faults{Late: 0.4, LateMs: 500 + s.random.IntN(3000)}
+	}
+	return ibisrowstore.Faults{Down: downs[s.random.IntN(len(downs))]}
+}
+
+// during begins a fault and ends it after the span, or when the context ends.
+func (s *soak) during(ctx context.Context, span time.Duration, begin, end func()) {
+	begin()
+	s.injected.Go(func() {
+		s.sleep(ctx, span)
+		end()
+	})
+}
+
+func (s *soak) restart(n *node, signal syscall.Signal) {
+	n.mu.Lock()
+	busy := n.stopping
+	n.stopping = true
+	n.mu.Unlock()
+	if busy {
+		return
+	}
+	pause := time.Duration(s.random.Int64N(int64(time.Second)))
+	s.injected.Go(func() {
+		if err := n.restart(signal, pause); err != nil {
+			s.ledger.Report("%s can't be started again: %v", n.name, err)
+		}
+	})
+}
+
+// reborn starts a backend server where none runs.
+func (s *soak) reborn(n *node, sameID bool) {
+	if n.current().Up() {
+		return
+	}
+	if err := n.startServer(sameID); err != nil {
+		s.ledger.Report("%s: %v", n.name, err)
+	}
+}
+
+// heal ends what faults may have left behind.
+func (s *soak) heal() {
+	s.server.SetFaults(ibisrowstore.Faults{})
+	for _, n := range s.nodes {
+		n.store.set(modePass)
+		n.peers.set(modePass)
+		n.signal(syscall.SIGCONT)
+		s.reborn(n, false)
+	}
+}
--- a/internal/request/ibischoose/candidate.go
+++ b/internal/request/ibischoose/candidate.go
@@ -37,20 +37,20 @@
 // state is what the chooser has seen of one candidate.
 type state struct {
 	Candidate
-	tier         int
-	outstanding  map[RequestID]sent
-	ratio        ibislatency.Mean
-	peak         float64
-	peakAt       time.Time
-	blocks       map[ibisid.ClassName]block
-	asideUntil   time.Time
-	asideTimes   int
-	asideEnded   time.Time
-	probation    int
-	load         float64
-	loadAt       time.Time
-	gateLoad     float64
-	gateLoadAt   time.Time
+	tier        int
+	outstanding map[RequestID]sent
+	ratio       ibislatency.Mean
+	peak        float64
+	peakAt      time.Time
+	blocks      map[ibisid.ClassName]block
+	asideUntil  time.Time
+	asideTimes  int
+	asideEnded  time.Time
+	probation   int
+	load        float64
+	loadAt      time.Time
+	gateLoad    float64
+	gateLoadAt  time.Time
 }
 
 // block keeps requests of one class, or of all, away from a candidate for a while.
