--- a/internal/measure/ibissoak/node.go
+++ b/internal/measure/ibissoak/node.go
@@ -29,16 +29,16 @@
 
 // node is one instance: a process of the program, a backend server beside it, and the proxies on its links.
 type node struct {
-	name     string
-	domain   string
-	service  string
-	ip       string
-	file     string
-	log      *os.File
-	store    *proxy
-	peers    *proxy
-	ledger   *ibisapp.Ledger
-	program  string
+	name    string
+	domain  string
+	service string
+	ip      string
+	file    string
+	log     *os.File
+	store   *proxy
+	peers   *proxy
+	ledger  *ibisapp.Ledger
+	program string
 
 	mu       sync.Mutex
 	process  *exec.Cmd
--- /dev/null
+++ b/internal/relay/ibisfollow/follow_test.go
@@ -0,0 +1,109 @@
+package ibisfollow_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/ibisridge/ibisridge/internal/relay/ibisfollow"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
+	"github.com/ibisridge/ibisridge/internal/standin/ibisrowstore"
+	"github.com/ibisridge/ibisridge/platform"
+)
+
+func TestFollow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ibisfollow")
+}
+
+// view is what a follower was told.
+type view struct {
+	mu     sync.Mutex
+	rows   map[string]string
+	wholes int
+}
+
+func (v *view) apply(rows []ibisstore.Row, whole bool, _ uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if whole {
+		v.rows = make(map[string]string)
+		v.wholes++
+	}
+	for _, r := range rows {
+		if r.Removed {
+			delete(v.rows, r.Key.Name)
+			continue
+		}
+		v.rows[r.Key.Name] = string(r.Value)
+	}
+}
+
+func (v *view) all() map[string]string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make(map[string]string)
+	for k, r := range v.rows {
+		out[k] = r
+	}
+	return out
+}
+
+var _ = Describe("A Follower", func() {
+	It("knows every change, through lost history and an outage, within seconds", func() {
+		store := ibisrowstore.New()
+		server := ibisrowstore.NewServer(store, 1)
+		listening := httptest.NewServer(server)
+		DeferCleanup(listening.Close)
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		v := &view{}
+		f := ibisfollow.New(platform.NewStoreClient(strings.TrimPrefix(listening.URL, "http://")), ibisfollow.Options{
+			Table:   "op",
+			Parts:   func() []string { return []string{""} },
+			Apply:   v.apply,
+			Reached: func(bool, error) {},
+		}, zap.NewNop())
+		store.Put("op", "", "a", []byte("1"))
+		go f.Run(ctx)
+		Eventually(v.all, "3s").Should(Equal(map[string]string{"a": "1"}))
+		store.Put("op", "", "b", []byte("1"))
+		store.Drop("op", "", "a")
+		Eventually(v.all, "3s").Should(Equal(map[string]string{"b": "1"}))
+		store.Put("op", "", "c", []byte("1"))
+		store.Forget()
+		store.Put("op", "", "d", []byte("1"))
+		Eventually(v.all, "3s").Should(Equal(map[string]string{"b": "1", "c": "1", "d": "1"}))
+		server.SetFaults(ibisrowstore.Faults{Down: ibisrowstore.DownBusy})
+		store.Put("op", "", "b", []byte("2"))
+		store.Put("op", "", "b", []byte("3"))
+		server.SetFaults(ibisrowstore.Faults{})
+		Eventually(v.all, "3s").Should(HaveKeyWithValue("b", "3"))
+		f.Reread()
+		Eventually(func() int { v.mu.Lock(); defer v.mu.Unlock(); return v.wholes }, "3s").Should(BeNumerically(">=", 2))
+	})
+
+	It("ends with its context", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		f := ibisfollow.New(platform.NewStoreClient("127.0.0.1:1"), ibisfollow.Options{
+			Parts:   func() []string { return []string{""} },
+			Apply:   func([]ibisstore.Row, bool, uint64) {},
+			Reached: func(bool, error) {},
+		}, zap.NewNop())
+		go func() {
+			f.Run(ctx)
+			close(ended)
+		}()
+		time.Sleep(10 * time.Millisecond)
+		cancel()
+		Eventually(ended, "3s").Should(BeClosed())
+	})
+})
--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -97,6 +97,7 @@
 		choosers: make(map[ibisid.ServiceName]*ibischoose.Chooser),
 		splitter: ibisroute.NewSplitter(),
 		random:   random,
+		retries:  budget{tokens: retryBurst},
 		down:     make(ibisset.Set[ibisid.NodeName]),
 		longest:  make(map[ibisid.ClassName]time.Duration),
 	}
--- /dev/null
+++ b/internal/relay/ibisfront/front_test.go
@@ -0,0 +1,293 @@
+package ibisfront_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisfront"
+	"github.com/ibisridge/ibisridge/internal/relay/ibiskeep"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
+	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
+)
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ibisfront")
+}
+
+// peers answers orders by a script and notes what was sent where.
+type peers struct {
+	sent   []ibisid.NodeName
+	orders []ibisorder.Order
+	answer func(n int, node ibisid.NodeName) ibisorder.Answer
+}
+
+func (p *peers) Send(_ context.Context, m ibisroster.Member, order ibisorder.Order) ibisorder.Answer {
+	p.sent = append(p.sent, m.Node)
+	p.orders = append(p.orders, order)
+	return p.answer(len(p.sent)-1, m.Node)
+}
+
+// brokenBody fails after its bytes.
+type brokenBody struct{ io.Reader }
+
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func (brokenBody) Close() error { return nil }
+
+func done(status int, body string) ibisorder.Answer {
+	return ibisorder.Answer{
+		Outcome: ibisid.OutcomeDone,
+		Arrived: true,
+		Status:  status,
+		Header:  make(http.Header),
+		Length:  int64(len(body)),
+		Body:    io.NopCloser(bytes.NewReader([]byte(body))),
+	}
+}
+
+func arrivedNotRun() ibisorder.Answer {
+	a := ibisorder.NotRun(ibisorder.ReasonServerFull, 0, nil)
+	a.Arrived = true
+	return a
+}
+
+var _ = Describe("A Front", func() {
+	var (
+		clock *ibistimer.Fake
+		p     *peers
+		front *ibisfront.Front
+	)
+
+	member := func(name, region, domain string, service ibisid.ServiceName) ibisroster.Member {
+		return ibisroster.Member{
+			Node:    ibisid.NodeName(name),
+			Place:   ibisid.Place{Region: ibisid.RegionName(region), Domain: ibisid.DomainName(domain)},
+			Address: "127.0.0.1:1",
+			Server: ibisroster.Server{
+				Life:    ibisroster.Life{ID: "s-" + name, Born: 1},
+				Service: service,
+				Slots:   12,
+				State:   ibisroster.StateServing,
+			},
+		}
+	}
+
+	BeforeEach(func() {
+		clock = ibistimer.NewFake(time.Unix(1_000_000, 0))
+		p = &peers{answer: func(int, ibisid.NodeName) ibisorder.Answer { return done(200, "whole") }}
+		front = ibisfront.New(ibisfront.Config{
+			Node:  "a",
+			Place: ibisid.Place{Region: "central", Domain: "kandy-a"},
+		}, p, clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
+		route := func(name string, kind ibisroute.Kind, service ibisid.ServiceName, homes ...ibisid.RegionName) ibisroute.Route {
+			return ibisroute.Route{
+				Name: ibisid.ClassName(name), Host: "mats.example", Prefix: "/" + name + "/", Kind: kind, Priority: 1,
+				Target: 800 * time.Millisecond, Timeout: 2500 * time.Millisecond, MaxAttempts: 2, Homes: homes,
+				Parts: []ibisroute.Part{{Service: service, Weight: 1}},
+			}
+		}
+		config, err := ibisroute.New(3, ibisroute.Limits{BodyBytes: 1 << 20},
+			[]ibisroute.Service{{Name: "desk"}, {Name: "floor", Sharded: true}},
+			[]ibisroute.Route{
+				route("look", ibisroute.KindIdempotent, "desk"),
+				route("order", ibisroute.KindNonIdempotent, "desk"),
+				route("home", ibisroute.KindIdempotent, "desk", "western"),
+				route("key", ibisroute.KindIdempotent, "floor"),
+			})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(front.SetConfig(config)).To(BeTrue())
+		front.UpdateRoster(func(r *ibisroster.Roster) {
+			r.Put(member("a", "central", "kandy-a", "desk"), 1)
+			r.Put(member("b", "central", "kandy-b", "desk"), 2)
+			r.Put(member("c", "western", "colombo-a", "desk"), 3)
+			r.Put(member("f", "western", "colombo-a", "floor"), 4)
+			r.Put(member("g", "central", "kandy-a", "floor"), 5)
+		})
+		front.SetPage("floor", ibiskeep.Page{Ranges: []ibiskeep.Range{
+			{Span: ibiskeep.Span{From: 0, To: 999}, Owner: ibiskeep.Owner{Node: "f"}},
+			{Span: ibiskeep.Span{From: 1000, To: ibiskeep.Keys - 1}, Owner: ibiskeep.Owner{Node: "g"}},
+		}}, 6)
+	})
+
+	serve := func(path string) ibisorder.Answer {
+		return front.Serve(context.Background(), ibisfront.Request{
+			ID: "r1", Method: http.MethodPost, URI: path, Path: path, Host: "mats.example", Key: 7,
+			Patience: 5 * time.Second, Arrived: clock.Now(), Length: 2, Body: bytes.NewReader([]byte("ok")),
+		})
+	}
+
+	It("never sends a request again that may run once only and may have run", func() {
+		p.answer = func(int, ibisid.NodeName) ibisorder.Answer { return ibisorder.Unknown(ibisorder.ReasonBroken, nil) }
+		answer := serve("/order/1")
+		Expect(answer.Outcome).To(Equal(ibisid.OutcomeUnknown))
+		Expect(p.sent).To(HaveLen(1))
+	})
+
+	It("sends a request that has not run to another gate, with its body", func() {
+		p.answer = func(n int, _ ibisid.NodeName) ibisorder.Answer {
+			if n == 0 {
+				return ibisorder.NotRun(ibisorder.ReasonUnreachable, 0, nil)
+			}
+			return done(200, "whole")
+		}
+		Expect(serve("/order/1").Outcome).To(Equal(ibisid.OutcomeDone))
+		Expect(p.sent).To(HaveLen(2))
+		Expect(p.sent[0]).NotTo(Equal(p.sent[1]))
+		Expect(p.orders[1].Body).To(Equal([]byte("ok")))
+	})
+
+	It("asks again for a short answer that broke off, where the request may run twice", func() {
+		p.answer = func(n int, _ ibisid.NodeName) ibisorder.Answer {
+			a := done(200, "half")
+			if n == 0 {
+				a.Length = 10
+				a.Body = brokenBody{Reader: bytes.NewReader([]byte("half"))}
+			}
+			return a
+		}
+		Expect(serve("/look/1").Outcome).To(Equal(ibisid.OutcomeDone))
+		Expect(p.sent).To(HaveLen(2))
+	})
+
+	It("keeps to the route's attempts", func() {
+		p.answer = func(int, ibisid.NodeName) ibisorder.Answer { return arrivedNotRun() }
+		answer := serve("/look/1")
+		Expect(answer.Outcome).To(Equal(ibisid.OutcomeNotRun))
+		Expect(p.sent).To(HaveLen(2))
+	})
+
+	It("keeps repeats below a tenth of the requests when every backend server turns requests away", func() {
+		p.answer = func(int, ibisid.NodeName) ibisorder.Answer { return arrivedNotRun() }
+		const requests = 1000
+		for range requests {
+			serve("/look/1")
+			clock.Advance(200 * time.Millisecond)
+		}
+		Expect(len(p.sent) - requests).To(BeNumerically("<=", requests/10+3))
+	})
+
+	It("does not tour full gates once a refusal would come late", func() {
+		p.answer = func(int, ibisid.NodeName) ibisorder.Answer {
+			clock.Advance(60 * time.Millisecond)
+			return ibisorder.NotRun(ibisorder.Reason(ibisadmit.ReasonTarget), time.Second, nil)
+		}
+		answer := serve("/look/1")
+		Expect(answer.Outcome).To(Equal(ibisid.OutcomeNotRun))
+		Expect(answer.RetryAfter).To(BeNumerically(">=", time.Second))
+		Expect(p.sent).To(HaveLen(1))
+	})
+
+	It("lets a refusal of one class keep only that class away from a gate", func() {
+		p.answer = func(int, ibisid.NodeName) ibisorder.Answer {
+			return ibisorder.NotRun(ibisorder.Reason(ibisadmit.ReasonTarget), time.Second, nil)
+		}
+		for range 5 {
+			serve("/look/1")
+		}
+		p.sent = nil
+		p.answer = func(int, ibisid.NodeName) ibisorder.Answer { return done(200, "whole") }
+		Expect(serve("/order/1").Outcome).To(Equal(ibisid.OutcomeDone))
+	})
+
+	It("counts the target from the caller's first attempt, told by what it still waits", func() {
+		ask := func(patience time.Duration) ibisorder.Order {
+			front.Serve(context.Background(), ibisfront.Request{
+				ID: "r", Method: http.MethodGet, URI: "/look/1", Path: "/look/1", Host: "mats.example", Patience: patience, Arrived: clock.Now(),
+			})
+			return p.orders[len(p.orders)-1]
+		}
+		Expect(ask(5 * time.Second).Target).To(Equal(clock.Now().Add(800 * time.Millisecond)))
+		Expect(ask(4500 * time.Millisecond).Target).To(Equal(clock.Now().Add(300 * time.Millisecond)))
+	})
+
+	It("sends a key to its owner, and to the one that the gate names instead", func() {
+		p.answer = func(n int, _ ibisid.NodeName) ibisorder.Answer {
+			if n == 0 {
+				a := ibisorder.NotRun(ibisorder.ReasonKeyElsewhere, 0, nil)
+				a.Owner = "g"
+				return a
+			}
+			return done(200, "whole")
+		}
+		Expect(serve("/key/1").Outcome).To(Equal(ibisid.OutcomeDone))
+		Expect(p.sent).To(Equal([]ibisid.NodeName{"f", "g"}))
+	})
+
+	It("stays in the home regions of a route", func() {
+		for range 20 {
+			serve("/home/1")
+		}
+		Expect(p.sent).To(HaveEach(ibisid.NodeName("c")))
+	})
+
+	It("sends nothing to a failure domain that is taken out", func() {
+		front.SetOut(ibisset.Of[ibisid.DomainName]("kandy-a", "kandy-b"))
+		for range 20 {
+			serve("/look/1")
+		}
+		Expect(p.sent).To(HaveEach(ibisid.NodeName("c")))
+	})
+
+	It("answers at once, with a time to come back, where nobody can serve", func() {
+		front.SetOut(ibisset.Of[ibisid.DomainName]("kandy-a", "kandy-b", "colombo-a"))
+		for _, path := range []string{"/look/1", "/key/1"} {
+			answer := serve(path)
+			Expect(answer.Outcome).To(Equal(ibisid.OutcomeNotRun))
+			Expect(answer.RetryAfter).To(BeNumerically(">", 0))
+		}
+		Expect(p.sent).To(BeEmpty())
+	})
+
+	It("never goes back to an older configuration", func() {
+		old, err := ibisroute.New(2, ibisroute.Limits{}, nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(front.SetConfig(old)).To(BeFalse())
+		Expect(front.Config().Version()).To(BeEquivalentTo(3))
+	})
+
+	It("refuses a body that is longer than allowed before it is read", func() {
+		answer := front.Serve(context.Background(), ibisfront.Request{
+			ID: "r1", Method: http.MethodPost, URI: "/order/1", Path: "/order/1", Host: "mats.example",
+			Arrived: clock.Now(), Length: 2 << 20, Body: bytes.NewReader(nil),
+		})
+		Expect(answer.Reason).To(Equal(ibisorder.ReasonTooLong))
+	})
+})
+
+var _ = Describe("A Splitter", func() {
+	It("deals the exact shares over any run of requests", func() {
+		s := ibisroute.NewSplitter()
+		r := &ibisroute.Route{Name: "r", Parts: []ibisroute.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 7}, {Service: "c", Weight: 3}}}
+		counts := make(map[ibisid.ServiceName]int)
+		for i := range 1000 {
+			counts[s.Next(1, r)]++
+			if i >= 99 {
+				Expect(float64(counts["a"])/float64(i+1)).To(BeNumerically("~", 0.9, 0.02), fmt.Sprint(i))
+			}
+		}
+		Expect(counts).To(Equal(map[ibisid.ServiceName]int{"a": 900, "b": 70, "c": 30}))
+	})
+})
--- /dev/null
+++ b/internal/relay/ibisguard/guard_test.go
@@ -0,0 +1,254 @@
+package ibisguard_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisguard"
+	"github.com/ibisridge/ibisridge/internal/relay/ibiskeep"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
+)
+
+func TestGuard(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ibisguard")
+}
+
+// backend takes orders and answers each when it is told to.
+type backend struct {
+	mu    sync.Mutex
+	began []ibisorder.Order
+	at    []time.Time
+	clock ibistimer.Service
+	go_   chan ibisorder.Answer
+}
+
+func (b *backend) Send(ctx context.Context, order ibisorder.Order, _ ibisroster.Life, _ time.Duration) ibisorder.Answer {
+	b.mu.Lock()
+	b.began = append(b.began, order)
+	b.at = append(b.at, b.clock.Now())
+	b.mu.Unlock()
+	select {
+	case a := <-b.go_:
+		return a
+	case <-ctx.Done():
+		return ibisorder.Unknown(ibisorder.ReasonCancelled, ctx.Err())
+	}
+}
+
+func (b *backend) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.began)
+}
+
+// ownership says where every key stands.
+type ownership struct {
+	mu       sync.Mutex
+	standing ibiskeep.Standing
+	changed  chan struct{}
+	ended    []ibisroster.Life
+}
+
+func (o *ownership) Stand(int) (ibiskeep.Standing, ibisid.NodeName) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.standing, "other"
+}
+
+func (o *ownership) Changed() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.changed
+}
+
+func (o *ownership) Ended(life ibisroster.Life) { o.ended = append(o.ended, life) }
+
+func (o *ownership) become(s ibiskeep.Standing) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.standing = s
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+func whole() ibisorder.Answer {
+	return ibisorder.Answer{
+		Outcome: ibisid.OutcomeDone,
+		Arrived: true,
+		Status:  http.StatusOK,
+		Length:  2,
+		Body:    io.NopCloser(bytes.NewReader([]byte("ok"))),
+	}
+}
+
+var _ = Describe("A Guard", func() {
+	var (
+		clock  *ibistimer.Fake
+		server *backend
+		keys   *ownership
+		guard  *ibisguard.Guard
+		life   = ibisroster.Life{ID: "s1", Born: 1}
+		rules  = ibisguard.Rules{Connections: 130, ColdPerSecond: 12, ColdStart: 3 * time.Second}
+	)
+
+	state := func(s ibisroster.State) ibisroster.Server {
+		return ibisroster.Server{Life: life, Service: "desk", Slots: 2, State: s}
+	}
+
+	order := func() ibisorder.Order {
+		return ibisorder.Order{
+			ID: "r", Service: "desk", Server: "s1", Class: "look", Key: ibisorder.NoKey,
+			Target: clock.Now().Add(time.Second), Deadline: clock.Now().Add(2 * time.Second),
+		}
+	}
+
+	// send sends an order in the background; the channel gets its answer, whose body has been read.
+	send := func(ctx context.Context, o ibisorder.Order) chan ibisorder.Answer {
+		out := make(chan ibisorder.Answer, 1)
+		go func() {
+			a := guard.Send(ctx, o)
+			if a.Body != nil {
+				_, _ = io.ReadAll(a.Body)
+				_ = a.Body.Close()
+			}
+			out <- a
+		}()
+		return out
+	}
+
+	BeforeEach(func() {
+		clock = ibistimer.NewFake(time.Unix(1_000_000, 0))
+		server = &backend{clock: clock, go_: make(chan ibisorder.Answer)}
+		keys = &ownership{standing: ibiskeep.StandingHeld, changed: make(chan struct{})}
+		guard = ibisguard.New(server, keys, clock, zap.NewNop())
+	})
+
+	It("admits nothing before it knows the rules, even after a heartbeat told of a cold start", func() {
+		guard.Meet(state(ibisroster.StateServing), 3*time.Second)
+		Expect(guard.Send(context.Background(), order()).Reason).To(Equal(ibisorder.ReasonNoConfig))
+		guard.Govern(rules)
+		admitted := 0
+		for range 100 {
+			answer := send(context.Background(), order())
+			select {
+			case server.go_ <- whole():
+				admitted++
+				Eventually(answer).Should(Receive())
+			case <-answer:
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+		Expect(admitted).To(BeNumerically("<=", 15), "a second of the cold rate and its headroom, on a clock that stands still")
+		Expect(admitted).To(BeNumerically(">=", 12))
+	})
+
+	It("takes a failure domain that comes back for cold", func() {
+		guard.Govern(rules)
+		guard.Meet(state(ibisroster.StateServing), 0)
+		out := rules
+		out.Out = true
+		guard.Govern(out)
+		Expect(guard.Send(context.Background(), order()).Reason).To(BeEquivalentTo(ibisadmit.ReasonDomainOut))
+		guard.Govern(rules)
+		for range 15 {
+			answer := send(context.Background(), order())
+			server.go_ <- whole()
+			Eventually(answer).Should(Receive())
+		}
+		waiting := send(context.Background(), order())
+		Consistently(waiting, 50*time.Millisecond).ShouldNot(Receive())
+		Expect(server.count()).To(Equal(15))
+	})
+
+	It("runs no more than the slots, and the next when one is free", func() {
+		guard.Govern(rules)
+		guard.Meet(state(ibisroster.StateServing), 0)
+		for range 3 {
+			send(context.Background(), order())
+		}
+		Eventually(server.count).Should(Equal(2))
+		Eventually(func() int { return guard.Figures().Waiting }).Should(Equal(1))
+		server.go_ <- whole()
+		Eventually(server.count).Should(Equal(3))
+	})
+
+	It("refuses new work of a server that leaves, and lets what runs end", func() {
+		guard.Govern(rules)
+		guard.Meet(state(ibisroster.StateServing), 0)
+		running := send(context.Background(), order())
+		Eventually(server.count).Should(Equal(1))
+		guard.Meet(state(ibisroster.StateLeaving), 0)
+		Expect(guard.Send(context.Background(), order()).Outcome).To(Equal(ibisid.OutcomeNotRun))
+		server.go_ <- whole()
+		var a ibisorder.Answer
+		Eventually(running).Should(Receive(&a))
+		Expect(a.Outcome).To(Equal(ibisid.OutcomeDone))
+	})
+
+	It("drops a request whose caller leaves while it waits", func() {
+		guard.Govern(rules)
+		guard.Meet(state(ibisroster.StateServing), 0)
+		for range 2 {
+			send(context.Background(), order())
+		}
+		Eventually(server.count).Should(Equal(2))
+		ctx, leave := context.WithCancel(context.Background())
+		waiting := send(ctx, order())
+		Eventually(func() int { return guard.Figures().Waiting }).Should(Equal(1))
+		leave()
+		var a ibisorder.Answer
+		Eventually(waiting).Should(Receive(&a))
+		Expect(a.Outcome).To(Equal(ibisid.OutcomeNotRun))
+		server.go_ <- whole()
+		Consistently(server.count, 50*time.Millisecond).Should(Equal(2))
+	})
+
+	It("names the owner of a key that stands elsewhere, and waits for one that is coming", func() {
+		sharded := rules
+		sharded.Sharded = true
+		guard.Govern(sharded)
+		guard.Meet(state(ibisroster.StateServing), 0)
+		o := order()
+		o.Key = 7
+		keys.become(ibiskeep.StandingElsewhere)
+		a := guard.Send(context.Background(), o)
+		Expect(a.Reason).To(Equal(ibisorder.ReasonKeyElsewhere))
+		Expect(a.Owner).To(BeEquivalentTo("other"))
+		keys.become(ibiskeep.StandingComing)
+		waiting := send(context.Background(), o)
+		Consistently(waiting, 50*time.Millisecond).ShouldNot(Receive())
+		keys.become(ibiskeep.StandingHeld)
+		Eventually(server.count).Should(Equal(1))
+	})
+
+	It("tells that the server has ended when its port takes no connections", func() {
+		guard.Govern(rules)
+		guard.Meet(state(ibisroster.StateServing), 0)
+		answer := send(context.Background(), order())
+		server.go_ <- ibisorder.NotRun(ibisorder.ReasonServerEnded, 0, nil)
+		Eventually(answer).Should(Receive())
+		Expect(keys.ended).To(ConsistOf(life))
+	})
+
+	It("refuses an order for another life of the server", func() {
+		guard.Govern(rules)
+		guard.Meet(state(ibisroster.StateServing), 0)
+		o := order()
+		o.Server = "s0"
+		Expect(guard.Send(context.Background(), o).Reason).To(Equal(ibisorder.ReasonOtherServer))
+	})
+})
