--- a/internal/relay/ibisguard/guard_test.go
+++ b/internal/relay/ibisguard/guard_test.go
@@ -29,11 +29,11 @@
 
 // backend takes orders and answers each when it is told to.
 type backend struct {
-	mu    sync.Mutex
-	began []ibisorder.Order
-	at    []time.Time
-	clock ibistimer.Service
-	go_   chan ibisorder.Answer
+	mu      sync.Mutex
+	began   []ibisorder.Order
+	at      []time.Time
+	clock   ibistimer.Service
+	answers chan ibisorder.Answer
 }
 
 func (b *backend) Send(ctx context.Context, order ibisorder.Order, _ ibisroster.Life, _ time.Duration) ibisorder.Answer {
@@ -42,7 +42,7 @@
 	b.at = append(b.at, b.clock.Now())
 	b.mu.Unlock()
 	select {
-	case a := <-b.go_:
+	case a := <-b.answers:
 		return a
 	case <-ctx.Done():
 		return ibisorder.Unknown(ibisorder.ReasonCancelled, ctx.Err())
@@ -132,7 +132,7 @@
 
 	BeforeEach(func() {
 		clock = ibistimer.NewFake(time.Unix(1_000_000, 0))
-		server = &backend{clock: clock, go_: make(chan ibisorder.Answer)}
+		server = &backend{clock: clock, answers: make(chan ibisorder.Answer)}
 		keys = &ownership{standing: ibiskeep.StandingHeld, changed: make(chan struct{})}
 		guard = ibisguard.New(server, keys, clock, zap.NewNop())
 	})
@@ -145,7 +145,7 @@
 		for range 100 {
 			answer := send(context.Background(), order())
 			select {
-			case server.go_ <- whole():
+			case server.answers <- whole():
 				admitted++
 				Eventually(answer).Should(Receive())
 			case <-answer:
@@ -166,7 +166,7 @@
 		guard.Govern(rules)
 		for range 15 {
 			answer := send(context.Background(), order())
-			server.go_ <- whole()
+			server.answers <- whole()
 			Eventually(answer).Should(Receive())
 		}
 		waiting := send(context.Background(), order())
@@ -182,7 +182,7 @@
 		}
 		Eventually(server.count).Should(Equal(2))
 		Eventually(func() int { return guard.Figures().Waiting }).Should(Equal(1))
-		server.go_ <- whole()
+		server.answers <- whole()
 		Eventually(server.count).Should(Equal(3))
 	})
 
@@ -193,7 +193,7 @@
 		Eventually(server.count).Should(Equal(1))
 		guard.Meet(state(ibisroster.StateLeaving), 0)
 		Expect(guard.Send(context.Background(), order()).Outcome).To(Equal(ibisid.OutcomeNotRun))
-		server.go_ <- whole()
+		server.answers <- whole()
 		var a ibisorder.Answer
 		Eventually(running).Should(Receive(&a))
 		Expect(a.Outcome).To(Equal(ibisid.OutcomeDone))
@@ -213,7 +213,7 @@
 		var a ibisorder.Answer
 		Eventually(waiting).Should(Receive(&a))
 		Expect(a.Outcome).To(Equal(ibisid.OutcomeNotRun))
-		server.go_ <- whole()
+		server.answers <- whole()
 		Consistently(server.count, 50*time.Millisecond).Should(Equal(2))
 	})
 
@@ -239,7 +239,7 @@
 		guard.Govern(rules)
 		guard.Meet(state(ibisroster.StateServing), 0)
 		answer := send(context.Background(), order())
-		server.go_ <- ibisorder.NotRun(ibisorder.ReasonServerEnded, 0, nil)
+		server.answers <- ibisorder.NotRun(ibisorder.ReasonServerEnded, 0, nil)
 		Eventually(answer).Should(Receive())
 		Expect(keys.ended).To(ConsistOf(life))
 	})
--- a/internal/standin/ibisapp/heartbeat.go
+++ b/internal/standin/ibisapp/heartbeat.go
@@ -84,7 +84,7 @@
 		s.ackedOut = time.Now()
 	}
 	s.freed = s.freed[min(len(freed), len(s.freed)):]
-	if grant.Holds != nil && s.up {
+	if grant.Holds != nil && s.Up() {
 		s.take(*grant.Holds, sent.Add(time.Duration(float64(grant.HoldMs)*clockSlow)*time.Millisecond))
 	}
 }
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -47,8 +48,10 @@
 	done   context.Context
 	end    context.CancelFunc
 
+	// up is read by the ledger, which may be called with mu held.
+	up atomic.Bool
+
 	mu       sync.Mutex
-	up       bool
 	leaving  bool
 	seq      uint64
 	waiting  int
@@ -82,9 +85,9 @@
 		slots:  make(chan struct{}, config.Slots),
 		done:   done,
 		end:    end,
-		up:     true,
 		beats:  make(chan struct{}, 1),
 	}
+	s.up.Store(true)
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(listener) }()
 	go s.heartbeats()
@@ -95,17 +98,11 @@
 func (s *Server) ID() string { return s.config.ID }
 
 // Up reports whether the server runs.
-func (s *Server) Up() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.up
-}
+func (s *Server) Up() bool { return s.up.Load() }
 
 // Crash ends the server at once.
 func (s *Server) Crash() {
-	s.mu.Lock()
-	s.up = false
-	s.mu.Unlock()
+	s.up.Store(false)
 	s.end()
 	_ = s.http.Close()
 }
