--- a/internal/measure/ibissoak/caller.go
+++ b/internal/measure/ibissoak/caller.go
@@ -139,6 +139,7 @@
 	response, err := c.client.Do(request)
 	if err != nil {
 		c.soak.tally().add(0, err)
+		time.Sleep(callerPause)
 		c.overdue(ctx, id, began, err)
 		return
 	}
--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -49,6 +49,12 @@
 	Send(ctx context.Context, member ibisroster.Member, order ibisorder.Order) ibisorder.Answer
 }
 
+// Meter counts how requests end.
+type Meter interface {
+	// Ended counts a request of a caller that ended after the time.
+	Ended(class ibisid.ClassName, answer ibisorder.Answer, held time.Duration)
+}
+
 // Config is what a front knows of its node.
 type Config struct {
 	// Node is the own node.
@@ -61,6 +67,7 @@
 type Front struct {
 	settings Config
 	peers    Peers
+	meter    Meter
 	clock    ibistimer.Service
 	log      *zap.Logger
 
@@ -86,10 +93,11 @@
 }
 
 // New returns a front that knows no configuration; random spreads times to come back and ties between servers.
-func New(settings Config, peers Peers, clock ibistimer.Service, random *rand.Rand, log *zap.Logger) *Front {
+func New(settings Config, peers Peers, meter Meter, clock ibistimer.Service, random *rand.Rand, log *zap.Logger) *Front {
 	return &Front{
 		settings: settings,
 		peers:    peers,
+		meter:    meter,
 		clock:    clock,
 		log:      log,
 		roster:   ibisroster.New(),
@@ -157,6 +165,13 @@
 	return f.roster.Of(service)
 }
 
+// Known returns the number of members.
+func (f *Front) Known() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Len()
+}
+
 // Member returns a member and whether it is known.
 func (f *Front) Member(node ibisid.NodeName) (ibisroster.Member, bool) {
 	f.mu.Lock()
@@ -223,6 +238,7 @@
 		return ibisorder.NotRun(reason, 0, err)
 	}
 	answer := f.pursue(ctx, p, p.order(request, body, rest))
+	f.meter.Ended(p.route.Name, answer, f.clock.Now().Sub(request.Arrived))
 	if answer.Outcome != ibisid.OutcomeDone {
 		f.log.Info("request has no answer",
 			zap.String("request", request.ID),
--- a/internal/relay/ibiswarden/warden.go
+++ b/internal/relay/ibiswarden/warden.go
@@ -125,6 +125,13 @@
 	return w.keeper.Stand(key, w.clock.Now())
 }
 
+// LeaseUntil returns the end of the node's lease, zero where it has none.
+func (w *Warden) LeaseUntil() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.keeper.LeaseUntil()
+}
+
 // Changed returns a channel that is closed when grants may have changed.
 func (w *Warden) Changed() <-chan struct{} {
 	w.mu.Lock()
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -205,9 +205,10 @@
 	select {
 	case <-t.C:
 	case <-r.Context().Done():
-		return
+		panic(http.ErrAbortHandler)
 	case <-s.done.Done():
-		return
+		// A handler that returned would have the server send an empty success.
+		panic(http.ErrAbortHandler)
 	}
 	if time.Now().After(deadline) {
 		w.WriteHeader(http.StatusGatewayTimeout)
