--- a/internal/program/ibiscli/cli.go
+++ b/internal/program/ibiscli/cli.go
@@ -29,6 +29,7 @@
 	Ended   *endedCommand   `arg:"subcommand:ended" help:"declare a node dead whose process has ended for ever"`
 	Domain  *domainCommands `arg:"subcommand:domain" help:"take a failure domain out, or in again"`
 	Soak    *soakCommand    `arg:"subcommand:soak" help:"run nodes as processes and inject faults from outside"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"tell from logs what became of a request"`
 	Measure *measureCommand `arg:"subcommand:measure" help:"measure the decisions under load and faults"`
 	Matrix  *matrixCommand  `arg:"subcommand:matrix" help:"run every fault at every step"`
 	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in for the platform's store"`
--- a/internal/program/ibiscli/relay.go
+++ b/internal/program/ibiscli/relay.go
@@ -35,7 +35,9 @@
 	if c.Check {
 		return writeJSON(t.Out, settings)
 	}
-	log, err := ibislog.New(t.Out, c.LogLevel)
+	out := ibislog.NewDropping(t.Out)
+	defer func() { _ = out.Close() }()
+	log, err := ibislog.New(out, c.LogLevel)
 	if err != nil {
 		return usageError("%w", err)
 	}
--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,8 +37,9 @@
 	defaultRetry = 300 * time.Millisecond
 	// retrySpread is the share by which times to come back are spread, so that callers don't return together.
 	retrySpread = 0.3
-	// retryFloor is what a second try needs: time for a round trip between regions and some work.
-	retryFloor = 60 * time.Millisecond
+	// ordinaryEvery is how many ordinary requests share one log line, so that lines take at most 3% of a node's time.
+	ordinaryEvery = 10
+	retryFloor    = 60 * time.Millisecond
 	// refusalShare of a target may pass before another gate is asked after one was full: with a round trip between
 	// regions on top, a refusal is still out within an eighth of usual targets.
 	refusalShare = 16
@@ -70,6 +72,8 @@
 	meter    Meter
 	clock    ibistimer.Service
 	log      *zap.Logger
+	// ordinary counts requests that were answered in time at the first try.
+	ordinary atomic.Uint64
 
 	mu       sync.Mutex
 	config   *ibisroute.Config
@@ -237,25 +241,69 @@
 		}
 		return ibisorder.NotRun(reason, 0, err)
 	}
-	answer := f.pursue(ctx, p, p.order(request, body, rest))
+	answer, tries := f.pursue(ctx, p, p.order(request, body, rest))
 	f.meter.Ended(p.route.Name, answer, f.clock.Now().Sub(request.Arrived))
+	f.tell(request, p, answer, tries)
+	return answer
+}
+
+// try is one node that was asked, and what it answered.
+type try struct {
+	node    ibisid.NodeName
+	reason  ibisorder.Reason
+	outcome ibisid.Outcome
+	took    time.Duration
+}
+
+// String returns the try for a log line.
+func (t try) String() string {
+	end := string(t.reason)
+	if t.outcome == ibisid.OutcomeDone {
+		end = string(t.outcome)
+	}
+	return fmt.Sprintf("%s %s after %d ms", t.node, end, t.took.Milliseconds())
+}
+
+// tell writes the line of a request: what was asked of whom, and what decided its end. Of requests that were answered in
+// time at the first try only some have one.
+func (f *Front) tell(request Request, p plan, answer ibisorder.Answer, tries []try) {
+	held := f.clock.Now().Sub(request.Arrived)
+	message := "request was answered"
 	if answer.Outcome != ibisid.OutcomeDone {
-		f.log.Info("request has no answer",
-			zap.String("request", request.ID),
-			zap.String("class", string(p.route.Name)),
-			zap.String("service", string(p.service.Name)),
-			zap.Int("priority", p.route.Priority),
-			zap.Int("key", request.Key),
-			zap.Duration("patience", request.Patience),
-			zap.Duration("target", p.route.Target),
-			zap.Uint64("config", uint64(p.config.Version())),
-			zap.String("outcome", string(answer.Outcome)),
-			zap.String("reason", string(answer.Reason)),
-			zap.Duration("retryAfter", answer.RetryAfter),
-			zap.Duration("held", f.clock.Now().Sub(request.Arrived)),
-			zap.Error(answer.Err))
+		message = "request has no answer"
+	} else if held <= p.route.Target && answer.Status < 500 && len(tries) == 1 && f.ordinary.Add(1)%ordinaryEvery != 0 {
+		return
 	}
-	return answer
+	entry := f.log.Check(zap.InfoLevel, message)
+	if entry == nil {
+		return
+	}
+	asked := make([]string, 0, len(tries))
+	for _, t := range tries {
+		asked = append(asked, t.String())
+	}
+	fields := []zap.Field{
+		zap.String("request", request.ID),
+		zap.String("class", string(p.route.Name)),
+		zap.String("service", string(p.service.Name)),
+		zap.Int("priority", p.route.Priority),
+		zap.Int("key", request.Key),
+		zap.Duration("patience", request.Patience),
+		zap.Duration("target", p.route.Target),
+		zap.Duration("age", p.age),
+		zap.Uint64("config", uint64(p.config.Version())),
+		zap.Strings("asked", asked),
+		zap.String("outcome", string(answer.Outcome)),
+		zap.Duration("held", held),
+	}
+	if answer.Outcome == ibisid.OutcomeDone {
+		entry.Write(append(fields, zap.Int("status", answer.Status))...)
+		return
+	}
+	entry.Write(append(fields,
+		zap.String("reason", string(answer.Reason)),
+		zap.Duration("retryAfter", answer.RetryAfter),
+		zap.Error(answer.Err))...)
 }
 
 var errTooLong = errors.New("body is longer than the configuration allows")
@@ -309,6 +357,7 @@
 		target:   r.Arrived.Add(min(target-age, span)),
 		deadline: r.Arrived.Add(span),
 		arrived:  r.Arrived,
+		age:      age,
 	}, ibisorder.Answer{}, true
 }
 
@@ -325,25 +374,28 @@
 }
 
 // pursue sends an order until it has an answer that is final.
-func (f *Front) pursue(ctx context.Context, p plan, order ibisorder.Order) ibisorder.Answer {
+func (f *Front) pursue(ctx context.Context, p plan, order ibisorder.Order) (ibisorder.Answer, []try) {
 	var asked []ibisid.NodeName
+	var tries []try
 	var last ibisorder.Answer
 	arrivals := 0
 	hint := ibisid.NodeName("")
-	for try := range maxTries {
+	for n := range maxTries {
 		member, refusal, ok := f.choose(p, order, asked, hint)
 		if !ok {
-			if try == 0 {
-				return refusal
+			if n == 0 {
+				return refusal, nil
 			}
 			break
 		}
+		began := f.clock.Now()
 		last = f.attempt(ctx, p, member, order)
+		tries = append(tries, try{node: member.Node, reason: last.Reason, outcome: last.Outcome, took: f.clock.Now().Sub(began)})
 		if last.Arrived {
 			arrivals++
 		}
 		if last.Outcome == ibisid.OutcomeDone {
-			return last
+			return last, tries
 		}
 		hint = last.Owner
 		asked = append(asked, member.Node)
@@ -359,7 +411,7 @@
 		last.RetryAfter = f.spread(max(last.RetryAfter, defaultRetry))
 		f.mu.Unlock()
 	}
-	return last
+	return last, tries
 }
 
 // mayTryAgain reports whether a request may be sent again elsewhere.
--- a/internal/relay/ibisfront/request.go
+++ b/internal/relay/ibisfront/request.go
@@ -68,6 +68,8 @@
 	target   time.Time
 	deadline time.Time
 	arrived  time.Time
+	// age is how long the caller has been trying already.
+	age time.Duration
 }
 
 // order makes an order of a request.
