--- a/internal/program/ibiscli/relay.go
+++ b/internal/program/ibiscli/relay.go
@@ -28,7 +28,8 @@
 }
 
 func (c *relayCommand) run(ctx context.Context, t Terminal) error {
-	settings, err := platform.ReadSettings(t.path(c.Settings))
+	load := func() (platform.Settings, error) { return platform.ReadSettings(t.path(c.Settings)) }
+	settings, err := load()
 	if err != nil {
 		return usageError("%w", err)
 	}
@@ -61,5 +62,5 @@
 	}()
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	return platform.NewNode(work, settings, ibistimer.New(), log).Run(ctx, reload)
+	return platform.NewNode(work, settings, ibistimer.New(), log).Run(ctx, reload, load)
 }
--- a/internal/relay/ibisfollow/follow_test.go
+++ b/internal/relay/ibisfollow/follow_test.go
@@ -67,6 +67,7 @@
 		v := &view{}
 		f := ibisfollow.New(platform.NewStoreClient(strings.TrimPrefix(listening.URL, "http://")), ibisfollow.Options{
 			Table:   "op",
+			Wait:    5 * time.Second,
 			Parts:   func() []string { return []string{""} },
 			Apply:   v.apply,
 			Reached: func(bool, error) {},
--- a/internal/relay/ibisfollow/follower.go
+++ b/internal/relay/ibisfollow/follower.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// longWait is how long the store holds a question without news: a lost one is noticed before an outage of the usual
-	// length is over for three seconds.
-	longWait = 5 * time.Second
 	// shortWait is used after a failure.
 	shortWait = time.Second
 	// firstPause and longestPause bound the pause after a failure; changes must be known again within 3 s of an outage.
@@ -29,6 +26,8 @@
 	Table string
 	// Parts returns the partitions of a whole read.
 	Parts func() []string
+	// Wait is how long the store holds a question without news; a lost one is noticed after that.
+	Wait time.Duration
 	// Gather is how long to let changes gather before the next question, as every answer costs a call.
 	Gather time.Duration
 	// Apply takes rows in; whole says that they are all rows of the partitions, as of the version.
@@ -147,7 +146,7 @@
 }
 
 func (f *Follower) feed(ctx context.Context, position uint64, short bool) (uint64, error) {
-	wait := longWait
+	wait := f.options.Wait
 	if short {
 		wait = shortWait
 	}
--- a/internal/relay/ibiskeep/keeper.go
+++ b/internal/relay/ibiskeep/keeper.go
@@ -16,6 +16,8 @@
 	TableLeases = "ibisLeases"
 
 	pageName = "page"
+	// frequentReaders is how many nodes read the leases at each renewal: one that coordinates and two that stand in.
+	frequentReaders = 3
 
 	// driftShare is how much faster than the node's a backend server's clock may be taken to run: 2% stated, and as much again.
 	driftShare = 0.04
@@ -275,7 +277,7 @@
 		return
 	}
 	pages := k.pageStale
-	leases := now.Sub(k.leasesAt) >= k.config.RenewEvery
+	leases := now.Sub(k.leasesAt) >= k.readEvery()
 	if !pages && !leases {
 		return
 	}
@@ -283,6 +285,15 @@
 	k.emit(ReadEffect{Pages: pages, Leases: leases})
 }
 
+// readEvery is how often the leases are read. The nodes that come first in coordinating read them at each renewal, the
+// others half as often: they must still tell a lapsed lease from a live one when their turn comes.
+func (k *Keeper) readEvery() time.Duration {
+	if k.rank() < frequentReaders {
+		return k.config.RenewEvery
+	}
+	return 2 * k.config.RenewEvery
+}
+
 // propose sends a new page under the conditions; the page's own version is always one.
 func (k *Keeper) propose(purpose Purpose, page Page, conditions []ibisstore.Condition, removes []ibisstore.Key) {
 	k.lastID++
--- a/internal/relay/ibiskeep/lease.go
+++ b/internal/relay/ibiskeep/lease.go
@@ -11,6 +11,8 @@
 const (
 	// takeoverSlack is added to the term before a lapsed lease is taken, for the drift of the store's clock.
 	takeoverSlack = 500 * time.Millisecond
+	// aliveRenewals is after how many missed renewals a node is given no more ranges; leases are read at each second renewal.
+	aliveRenewals = 4
 	// rememberedRenewals is how many renewals without an answer are remembered, as they may have taken effect.
 	rememberedRenewals = 8
 )
@@ -189,5 +191,5 @@
 		return true
 	}
 	p, ok := k.peers[node]
-	return ok && p.version != 0 && p.seenAt-p.since < 3*k.config.RenewEvery
+	return ok && p.version != 0 && p.seenAt-p.since < aliveRenewals*k.config.RenewEvery
 }
--- a/internal/relay/ibiskeep/plan.go
+++ b/internal/relay/ibiskeep/plan.go
@@ -155,13 +155,7 @@
 	if k.needSince.IsZero() {
 		k.needSince = now
 	}
-	rank := 0
-	for _, m := range k.members {
-		if m.Node < k.config.Node && k.alive(m.Node) {
-			rank++
-		}
-	}
-	if now.Sub(k.needSince) < time.Duration(rank)*standInDelay {
+	if now.Sub(k.needSince) < time.Duration(k.rank())*standInDelay {
 		return false
 	}
 	k.needSince = time.Time{}
@@ -183,6 +177,17 @@
 	return true
 }
 
+// rank returns how many nodes come first in what any node may do.
+func (k *Keeper) rank() int {
+	rank := 0
+	for _, m := range k.members {
+		if m.Node < k.config.Node && k.alive(m.Node) {
+			rank++
+		}
+	}
+	return rank
+}
+
 func (k *Keeper) create() {
 	owners := k.owners()
 	if len(owners) == 0 {
