Trial: busy ranges are moved by the load that owners count

Change: owners tell requests a second of each 128 keys in their leases; the coordinator moves ranges, or parts of one, away from an owner with 1.35 times the mean. Conclusion: what makes the busiest is one hot key for five seconds, which can't be parted; its neighbours moved in vain and were served by nobody for a heartbeat each.

--- a/internal/relay/ibiskeep/keeper.go
+++ b/internal/relay/ibiskeep/keeper.go
@@ -71,6 +71,8 @@
 	reading   bool
 	retryRead time.Time
 	pending   *pendingCommit
+	counter   counter
+	rates     rates
 	needSince time.Time
 	balanceAt time.Time
 	started   time.Time
@@ -114,7 +116,12 @@
 		config:    config,
 		peers:     make(map[ibisid.NodeName]peerLease),
 		pageStale: true,
-		started:   now,
+		counter: counter{
+			counts: make(map[int]int),
+			since:  now,
+			rates:  make(rates),
+		},
+		started: now,
 	}
 }
 
--- a/internal/relay/ibiskeep/plan.go
+++ b/internal/relay/ibiskeep/plan.go
@@ -139,7 +139,11 @@
 		}
 		return
 	}
-	page, ok := rebalance(k.page, k.owners(), k.alive)
+	owners := k.owners()
+	page, ok := rebalance(k.page, owners, k.rates, k.alive)
+	if !ok && !k.page.moving() {
+		page, ok = relieve(k.page, owners, k.rates)
+	}
 	if !ok || now.Sub(k.balanceAt) < balanceEvery {
 		k.needSince = time.Time{}
 		return
