--- a/internal/relay/ibisguard/guard.go
+++ b/internal/relay/ibisguard/guard.go
@@ -41,8 +41,6 @@
 	Stand(key int) (ibiskeep.Standing, ibisid.NodeName)
 	// Changed returns a channel that is closed when grants change.
 	Changed() <-chan struct{}
-	// Used counts a request for a key.
-	Used(key int)
 	// Ended says that the backend server's port takes no connections.
 	Ended(life ibisroster.Life)
 }
@@ -241,9 +239,6 @@
 		g.finish(id, ibisadmit.FinishEvent{ID: id})
 		return g.withLoad(ibisorder.NotRun(ibisorder.ReasonDeadline, 0, nil))
 	}
-	if order.Key != ibisorder.NoKey {
-		g.ownership.Used(order.Key)
-	}
 	answer := g.backend.Send(ctx, order, life, left)
 	latency := g.clock.Now().Sub(began)
 	if answer.Outcome != ibisid.OutcomeDone {
--- a/internal/relay/ibisguard/guard_test.go
+++ b/internal/relay/ibisguard/guard_test.go
@@ -75,8 +75,6 @@
 	return o.changed
 }
 
-func (o *ownership) Used(int) {}
-
 func (o *ownership) Ended(life ibisroster.Life) { o.ended = append(o.ended, life) }
 
 func (o *ownership) become(s ibiskeep.Standing) {
--- a/internal/relay/ibiskeep/balance.go
+++ b/internal/relay/ibiskeep/balance.go
@@ -40,7 +40,7 @@
 
 // rebalance asks owners with many keys to give some to owners that have far too few, and takes back what was asked for
 // a node that can't take it any more. It waits while planned moves are on their way.
-func rebalance(page Page, owners []ibisroster.Member, r rates, settled func(ibisid.NodeName) bool) (Page, bool) {
+func rebalance(page Page, owners []ibisroster.Member, settled func(ibisid.NodeName) bool) (Page, bool) {
 	may := make(map[ibisid.NodeName]bool)
 	for _, m := range owners {
 		may[m.Node] = true
@@ -63,7 +63,7 @@
 	}
 	changed := false
 	for range movesAtOnce {
-		if !out.moveOne(owners, r) {
+		if !out.moveOne(owners) {
 			break
 		}
 		changed = true
@@ -72,7 +72,7 @@
 }
 
 // moveOne marks one range for the owner with the fewest keys, and reports whether that was called for.
-func (p *Page) moveOne(owners []ibisroster.Member, r rates) bool {
+func (p *Page) moveOne(owners []ibisroster.Member) bool {
 	if len(owners) < 2 {
 		return false
 	}
@@ -88,9 +88,6 @@
 	}
 	fair := Keys / len(owners)
 	begun := p.marked(few)
-	if !begun && p.busy(few, owners, r) {
-		return false
-	}
 	if !begun && float64(shares[few]) >= leastShare*float64(fair) {
 		return false
 	}
@@ -102,27 +99,6 @@
 	return p.mark(many, few, min(missing, surplus))
 }
 
-// moving reports whether a planned move is on its way.
-func (p Page) moving() bool {
-	for _, r := range p.Ranges {
-		if r.Next != "" {
-			return true
-		}
-	}
-	return false
-}
-
-// busy reports whether an owner with few keys has its part of the load all the same.
-func (p Page) busy(node ibisid.NodeName, owners []ibisroster.Member, r rates) bool {
-	loads := p.loads(r)
-	total := 0.0
-	for _, m := range owners {
-		total += loads[m.Node]
-	}
-	mean := total / float64(len(owners))
-	return mean >= leastRate && loads[node] >= leastShare*mean
-}
-
 func (p *Page) marked(node ibisid.NodeName) bool {
 	for _, r := range p.Ranges {
 		if r.Next == node {
--- a/internal/relay/ibiskeep/keeper.go
+++ b/internal/relay/ibiskeep/keeper.go
@@ -71,8 +71,6 @@
 	reading   bool
 	retryRead time.Time
 	pending   *pendingCommit
-	counter   counter
-	rates     rates
 	needSince time.Time
 	balanceAt time.Time
 	started   time.Time
@@ -116,12 +114,7 @@
 		config:    config,
 		peers:     make(map[ibisid.NodeName]peerLease),
 		pageStale: true,
-		counter: counter{
-			counts: make(map[int]int),
-			since:  now,
-			rates:  make(rates),
-		},
-		started: now,
+		started:   now,
 	}
 }
 
--- a/internal/relay/ibiskeep/lease.go
+++ b/internal/relay/ibiskeep/lease.go
@@ -77,18 +77,13 @@
 		writer: fmt.Sprintf("%d/%d", k.config.Incarnation, k.lastID),
 	}
 	k.lease.renewal = r
-	k.counter.roll(now)
 	key := k.leaseKey(k.config.Node)
-	value := leaseRow{
-		Writer: r.writer,
-		Rates:  k.counter.rates,
-	}.encode()
 	k.emit(CommitEffect{
 		ID:      r.id,
 		Purpose: PurposeRenew,
 		Commit: ibisstore.Commit{
 			Conditions: []ibisstore.Condition{{Key: key, Version: k.lease.version}},
-			Writes:     []ibisstore.Write{{Key: key, Value: value}},
+			Writes:     []ibisstore.Write{{Key: key, Value: []byte(r.writer)}},
 		},
 	})
 }
@@ -138,9 +133,8 @@
 		}
 	}
 	k.lease.version = current.Version
-	writer := decodeLease(current.Value).Writer
 	for _, lost := range k.lease.lost {
-		if current.Version != 0 && writer == lost.writer {
+		if current.Version != 0 && string(current.Value) == lost.writer {
 			k.extend(lost.sentAt, now)
 			return
 		}
@@ -152,7 +146,6 @@
 // takeLeases notes since when, by the store's clock, each lease has stood unchanged.
 func (k *Keeper) takeLeases(snapshot ibisstore.Snapshot, now time.Time) {
 	k.leasesAt = now
-	k.takeRates(snapshot.Rows)
 	seen := make(map[ibisid.NodeName]peerLease)
 	for _, row := range snapshot.Rows {
 		node := ibisid.NodeName(row.Key.Name)
--- a/internal/relay/ibiskeep/plan.go
+++ b/internal/relay/ibiskeep/plan.go
@@ -139,11 +139,7 @@
 		}
 		return
 	}
-	owners := k.owners()
-	page, ok := rebalance(k.page, owners, k.rates, k.alive)
-	if !ok && !k.page.moving() {
-		page, ok = relieve(k.page, owners, k.rates)
-	}
+	page, ok := rebalance(k.page, k.owners(), k.alive)
 	if !ok || now.Sub(k.balanceAt) < balanceEvery {
 		k.needSince = time.Time{}
 		return
--- a/internal/relay/ibiswarden/warden.go
+++ b/internal/relay/ibiswarden/warden.go
@@ -139,13 +139,6 @@
 	return w.changed
 }
 
-// Used counts a request for a key.
-func (w *Warden) Used(key int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.keeper.Used(key)
-}
-
 // Ended says that the backend server's port takes no connections.
 func (w *Warden) Ended(life ibisroster.Life) {
 	w.Update(ibiskeep.EndedEvent{Life: life})
