--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -381,6 +381,9 @@
 	arrivals := 0
 	hint := ibisid.NodeName("")
 	for n := range maxTries {
+		if n == 0 && order.Key != ibisorder.NoKey {
+			order.PageVersion = f.pageVersion(p.service.Name)
+		}
 		member, refusal, ok := f.choose(p, order, asked, hint)
 		if !ok {
 			if n == 0 {
@@ -398,6 +401,9 @@
 			return last, tries
 		}
 		hint = last.Owner
+		if hint != "" {
+			order.PageVersion = last.PageVersion
+		}
 		asked = append(asked, member.Node)
 		if order.Key != ibisorder.NoKey && hint == "" {
 			break
@@ -414,6 +420,13 @@
 	return last, tries
 }
 
+// pageVersion returns the version of a service's page.
+func (f *Front) pageVersion(service ibisid.ServiceName) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pages[service].version
+}
+
 // mayTryAgain reports whether a request may be sent again elsewhere.
 func (f *Front) mayTryAgain(ctx context.Context, p plan, order ibisorder.Order, last ibisorder.Answer, arrivals int) bool {
 	switch {
--- a/internal/relay/ibisguard/guard.go
+++ b/internal/relay/ibisguard/guard.go
@@ -39,6 +39,10 @@
 type Ownership interface {
 	// Stand returns where a key stands and the node that owns it.
 	Stand(key int) (ibiskeep.Standing, ibisid.NodeName)
+	// PageVersion returns the version of the page that answers are given from.
+	PageVersion() uint64
+	// Refresh asks for the newest page, since somebody knows of a newer one.
+	Refresh()
 	// Changed returns a channel that is closed when grants change.
 	Changed() <-chan struct{}
 	// Ended says that the backend server's port takes no connections.
@@ -301,15 +305,22 @@
 	case ibiskeep.StandingHeld:
 		return ibisorder.Answer{}, true
 	case ibiskeep.StandingElsewhere:
+		version := g.ownership.PageVersion()
+		if order.PageVersion > version {
+			g.ownership.Refresh()
+			break
+		}
 		answer := ibisorder.NotRun(ibisorder.ReasonKeyElsewhere, 0, nil)
 		answer.Owner = owner
+		answer.PageVersion = version
 		return answer, false
 	case ibiskeep.StandingComing, ibiskeep.StandingNowhere:
 	}
 	return ibisorder.NotRun(ibisorder.ReasonKeyMoving, movingRetry, nil), false
 }
 
-// awaitKey waits a moment for a key that the own backend server is about to get.
+// awaitKey waits a moment for a key that the own backend server is about to get, or that is about to have another owner: a
+// refused call costs the work of whoever made it, a wait of some hundred milliseconds does not.
 func (g *Guard) awaitKey(ctx context.Context, order ibisorder.Order) (ibisorder.Answer, bool) {
 	refusal, ok := g.checkKey(order)
 	if ok || refusal.Reason != ibisorder.ReasonKeyMoving {
@@ -326,9 +337,6 @@
 		if refusal, ok = g.checkKey(order); ok || refusal.Reason != ibisorder.ReasonKeyMoving {
 			return refusal, ok
 		}
-		if standing, _ := g.ownership.Stand(order.Key); standing == ibiskeep.StandingNowhere {
-			return refusal, false
-		}
 		select {
 		case <-changed:
 		case <-timeout.C:
--- a/internal/relay/ibisguard/guard_test.go
+++ b/internal/relay/ibisguard/guard_test.go
@@ -61,6 +61,8 @@
 	standing ibiskeep.Standing
 	changed  chan struct{}
 	ended    []ibisroster.Life
+	// refreshed counts how often the newest page was asked for.
+	refreshed int
 }
 
 func (o *ownership) Stand(int) (ibiskeep.Standing, ibisid.NodeName) {
@@ -75,6 +77,14 @@
 	return o.changed
 }
 
+func (o *ownership) PageVersion() uint64 { return 5 }
+
+func (o *ownership) Refresh() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refreshed++
+}
+
 func (o *ownership) Ended(life ibisroster.Life) { o.ended = append(o.ended, life) }
 
 func (o *ownership) become(s ibiskeep.Standing) {
@@ -235,6 +245,29 @@
 		Eventually(server.count).Should(Equal(1))
 	})
 
+	It("waits for the owner of a key that is being released, and asks for the page when the sender knows a newer one", func() {
+		sharded := rules
+		sharded.Sharded = true
+		guard.Govern(sharded)
+		guard.Meet(state(ibisroster.StateServing), 0)
+		o := order()
+		o.Key = 7
+		keys.become(ibiskeep.StandingNowhere)
+		waiting := send(context.Background(), o)
+		Consistently(waiting, 50*time.Millisecond).ShouldNot(Receive())
+		keys.become(ibiskeep.StandingElsewhere)
+		var a ibisorder.Answer
+		Eventually(waiting).Should(Receive(&a))
+		Expect(a.Reason).To(Equal(ibisorder.ReasonKeyElsewhere))
+		Expect(a.PageVersion).To(BeEquivalentTo(5))
+		o.PageVersion = 6
+		waiting = send(context.Background(), o)
+		Consistently(waiting, 50*time.Millisecond).ShouldNot(Receive())
+		Expect(keys.refreshed).To(BeNumerically(">", 0))
+		keys.become(ibiskeep.StandingHeld)
+		Eventually(server.count).Should(Equal(1))
+	})
+
 	It("tells that the server has ended when its port takes no connections", func() {
 		guard.Govern(rules)
 		guard.Meet(state(ibisroster.StateServing), 0)
--- a/internal/relay/ibishop/wire.go
+++ b/internal/relay/ibishop/wire.go
@@ -19,16 +19,17 @@
 
 // orderHeader is the particulars of an order beside the request itself.
 type orderHeader struct {
-	ID         string             `json:"id"`
-	Origin     ibisid.ServiceName `json:"origin"`
-	Service    ibisid.ServiceName `json:"service"`
-	Server     string             `json:"server,omitempty"`
-	Class      ibisid.ClassName   `json:"class"`
-	Priority   int                `json:"priority,omitempty"`
-	Repeatable bool               `json:"repeatable,omitempty"`
-	Key        int                `json:"key"`
-	TargetMs   int64              `json:"targetMs"`
-	LeftMs     int64              `json:"leftMs"`
+	ID          string             `json:"id"`
+	Origin      ibisid.ServiceName `json:"origin"`
+	Service     ibisid.ServiceName `json:"service"`
+	Server      string             `json:"server,omitempty"`
+	Class       ibisid.ClassName   `json:"class"`
+	Priority    int                `json:"priority,omitempty"`
+	Repeatable  bool               `json:"repeatable,omitempty"`
+	Key         int                `json:"key"`
+	PageVersion uint64             `json:"pageVersion,omitempty"`
+	TargetMs    int64              `json:"targetMs"`
+	LeftMs      int64              `json:"leftMs"`
 }
 
 // answerHeader is the particulars of an answer beside the response itself.
@@ -37,6 +38,7 @@
 	Reason       ibisorder.Reason `json:"reason,omitempty"`
 	RetryAfterMs int64            `json:"retryAfterMs,omitempty"`
 	Owner        ibisid.NodeName  `json:"owner,omitempty"`
+	PageVersion  uint64           `json:"pageVersion,omitempty"`
 	Arrived      bool             `json:"arrived,omitempty"`
 	Load         float32          `json:"load"`
 }
@@ -47,16 +49,17 @@
 		header = make(http.Header)
 	}
 	value, err := json.Marshal(orderHeader{
-		ID:         order.ID,
-		Origin:     order.Origin,
-		Service:    order.Service,
-		Server:     order.Server,
-		Class:      order.Class,
-		Priority:   order.Priority,
-		Repeatable: order.Repeatable,
-		Key:        order.Key,
-		TargetMs:   order.Target.Sub(now).Milliseconds(),
-		LeftMs:     order.Deadline.Sub(now).Milliseconds(),
+		ID:          order.ID,
+		Origin:      order.Origin,
+		Service:     order.Service,
+		Server:      order.Server,
+		Class:       order.Class,
+		Priority:    order.Priority,
+		Repeatable:  order.Repeatable,
+		Key:         order.Key,
+		PageVersion: order.PageVersion,
+		TargetMs:    order.Target.Sub(now).Milliseconds(),
+		LeftMs:      order.Deadline.Sub(now).Milliseconds(),
 	})
 	if err != nil {
 		panic(fmt.Sprintf("order %s can't be encoded: %v", order.ID, err))
@@ -77,21 +80,22 @@
 		return ibisorder.Order{}, fmt.Errorf("order of a node: %w", err)
 	}
 	order := ibisorder.Order{
-		ID:         h.ID,
-		Method:     r.Method,
-		URI:        r.RequestURI,
-		Host:       r.Host,
-		Header:     ibisbackend.EndToEnd(r.Header),
-		Length:     r.ContentLength,
-		Origin:     h.Origin,
-		Service:    h.Service,
-		Server:     h.Server,
-		Class:      h.Class,
-		Priority:   h.Priority,
-		Repeatable: h.Repeatable,
-		Key:        h.Key,
-		Target:     now.Add(time.Duration(h.TargetMs) * time.Millisecond),
-		Deadline:   now.Add(time.Duration(h.LeftMs) * time.Millisecond),
+		ID:          h.ID,
+		Method:      r.Method,
+		URI:         r.RequestURI,
+		Host:        r.Host,
+		Header:      ibisbackend.EndToEnd(r.Header),
+		Length:      r.ContentLength,
+		Origin:      h.Origin,
+		Service:     h.Service,
+		Server:      h.Server,
+		Class:       h.Class,
+		Priority:    h.Priority,
+		Repeatable:  h.Repeatable,
+		Key:         h.Key,
+		PageVersion: h.PageVersion,
+		Target:      now.Add(time.Duration(h.TargetMs) * time.Millisecond),
+		Deadline:    now.Add(time.Duration(h.LeftMs) * time.Millisecond),
 	}
 	if r.ContentLength != 0 {
 		order.Rest = r.Body
@@ -105,6 +109,7 @@
 		Reason:       a.Reason,
 		RetryAfterMs: a.RetryAfter.Milliseconds(),
 		Owner:        a.Owner,
+		PageVersion:  a.PageVersion,
 		Arrived:      a.Arrived,
 		Load:         float32(int(a.Load*100)) / 100,
 	})
@@ -120,11 +125,12 @@
 		return ibisorder.Answer{}, fmt.Errorf("answer of a node: %w", err)
 	}
 	return ibisorder.Answer{
-		Outcome:    h.Outcome,
-		Reason:     h.Reason,
-		RetryAfter: time.Duration(h.RetryAfterMs) * time.Millisecond,
-		Owner:      h.Owner,
-		Arrived:    h.Arrived,
-		Load:       float64(h.Load),
+		Outcome:     h.Outcome,
+		Reason:      h.Reason,
+		RetryAfter:  time.Duration(h.RetryAfterMs) * time.Millisecond,
+		Owner:       h.Owner,
+		PageVersion: h.PageVersion,
+		Arrived:     h.Arrived,
+		Load:        float64(h.Load),
 	}, nil
 }
--- a/internal/relay/ibiskeep/event.go
+++ b/internal/relay/ibiskeep/event.go
@@ -92,6 +92,9 @@
 	Result ibisstore.Result
 }
 
+// RefreshEvent says that somebody knows of a newer page.
+type RefreshEvent struct{}
+
 // TickEvent lets time pass.
 type TickEvent struct{}
 
@@ -103,6 +106,7 @@
 func (PageEvent) keeperEvent()      {}
 func (ReadEvent) keeperEvent()      {}
 func (CommitEvent) keeperEvent()    {}
+func (RefreshEvent) keeperEvent()   {}
 func (TickEvent) keeperEvent()      {}
 
 // Effect is what a keeper wants done.
--- a/internal/relay/ibiskeep/keeper.go
+++ b/internal/relay/ibiskeep/keeper.go
@@ -29,6 +29,8 @@
 	staleAnswer = 1500 * time.Millisecond
 	// retryAfter is the pause after a commit or read that the store didn't do.
 	retryAfter = 600 * time.Millisecond
+	// refreshEvery is the shortest time between two reads of the page that requests ask for.
+	refreshEvery = 200 * time.Millisecond
 	// TickPeriod is the longest time between two tick events.
 	TickPeriod = 250 * time.Millisecond
 )
@@ -70,6 +72,8 @@
 	pageStale bool
 	reading   bool
 	retryRead time.Time
+	refresh   bool
+	refreshed time.Time
 	pending   *pendingCommit
 	needSince time.Time
 	balanceAt time.Time
@@ -143,6 +147,8 @@
 		k.read(e, now)
 	case CommitEvent:
 		k.committed(e, now)
+	case RefreshEvent:
+		k.refresh = now.Sub(k.refreshed) >= refreshEvery
 	case TickEvent:
 	}
 	if k.sharded {
@@ -276,12 +282,15 @@
 	if k.reading || now.Before(k.retryRead) || !k.leaseValid(now) {
 		return
 	}
-	pages := k.pageStale
+	pages := k.pageStale || k.refresh
 	leases := now.Sub(k.leasesAt) >= k.readEvery()
 	if !pages && !leases {
 		return
 	}
 	k.reading = true
+	if pages {
+		k.refresh, k.refreshed = false, now
+	}
 	k.emit(ReadEffect{Pages: pages, Leases: leases})
 }
 
--- a/internal/relay/ibisorder/answer.go
+++ b/internal/relay/ibisorder/answer.go
@@ -58,6 +58,8 @@
 	RetryAfter time.Duration
 	// Owner is the node that owns the key, where the reason is ReasonKeyElsewhere.
 	Owner ibisid.NodeName
+	// PageVersion is the version of the page that says so.
+	PageVersion uint64
 	// Arrived says that the request reached a backend server, also where that turned it away.
 	Arrived bool
 	// Load is what runs and waits at the gate as a share of its limit; negative where it isn't known.
--- a/internal/relay/ibisorder/order.go
+++ b/internal/relay/ibisorder/order.go
@@ -44,6 +44,8 @@
 	Repeatable bool
 	// Key is the caller's key, or NoKey.
 	Key int
+	// PageVersion is the version of the page that named the node as the key's owner, so that a node with an older one knows.
+	PageVersion uint64
 	// Target is the time by which the answer is worth most.
 	Target time.Time
 	// Deadline is the time after which an answer is of no use.
--- a/internal/relay/ibiswarden/warden.go
+++ b/internal/relay/ibiswarden/warden.go
@@ -59,7 +59,9 @@
 	effects := w.keeper.Update(event, w.clock.Now())
 	page, known := w.keeper.Page()
 	version := w.keeper.PageVersion()
-	if _, tick := event.(ibiskeep.TickEvent); !tick {
+	switch event.(type) {
+	case ibiskeep.TickEvent, ibiskeep.RefreshEvent:
+	default:
 		close(w.changed)
 		w.changed = make(chan struct{})
 	}
@@ -132,6 +134,16 @@
 	return w.keeper.LeaseUntil()
 }
 
+// PageVersion returns the version of the page that answers are given from.
+func (w *Warden) PageVersion() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.keeper.PageVersion()
+}
+
+// Refresh asks for the newest page, since somebody knows of a newer one.
+func (w *Warden) Refresh() { w.Update(ibiskeep.RefreshEvent{}) }
+
 // Changed returns a channel that is closed when grants may have changed.
 func (w *Warden) Changed() <-chan struct{} {
 	w.mu.Lock()
