--- a/internal/relay/ibiskeep/explore_test.go
+++ b/internal/relay/ibiskeep/explore_test.go
@@ -108,6 +108,21 @@
 		Expect(w.served()).To(Equal(ibiskeep.Keys))
 	})
 
+	It("takes over a lost node's keys though whoever coordinates starts anew meanwhile", func() {
+		w := newWorld(9, 4)
+		w.lateBeats = 0
+		w.run(12 * time.Second)
+		lost := w.nodes[3]
+		lost.up = false
+		w.crash(lost, false, time.Hour)
+		w.run(5 * time.Second)
+		for _, n := range w.nodes[:3] {
+			w.boot(n)
+		}
+		w.run(10 * time.Second)
+		Expect(w.served()).To(Equal(ibiskeep.Keys))
+	})
+
 	It("resumes within two seconds of the store's return after its lease lapsed", func() {
 		w := newWorld(6, 4)
 		w.lateBeats = 0
--- a/internal/relay/ibiskeep/keeper.go
+++ b/internal/relay/ibiskeep/keeper.go
@@ -75,6 +75,7 @@
 	refresh   bool
 	refreshed time.Time
 	pending   *pendingCommit
+	clock     storeClock
 	needSince time.Time
 	balanceAt time.Time
 	started   time.Time
@@ -157,6 +158,9 @@
 	return k.effects
 }
 
+// Owns reports whether the page gives ranges to the own node.
+func (k *Keeper) Owns() bool { return k.ownsAny() }
+
 // Page returns the page as it is known, and whether one is.
 func (k *Keeper) Page() (Page, bool) { return k.page, k.pageKnown }
 
@@ -254,6 +258,7 @@
 		k.pageStale = k.pageStale && e.Asked.Before(k.lease.began)
 	}
 	if e.Leases != nil {
+		k.takeClock(e.Leases.Clock, e.Asked)
 		k.takeLeases(*e.Leases, now)
 	}
 }
--- a/internal/relay/ibiskeep/lease.go
+++ b/internal/relay/ibiskeep/lease.go
@@ -1,6 +1,7 @@
 package ibiskeep
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -36,11 +37,49 @@
 	writer string
 }
 
+// leaseRow is the content of a lease.
+type leaseRow struct {
+	// Writer names the renewal, so that one without an answer is known again.
+	Writer string `json:"writer"`
+	// UntilMs is when the lease ends by the store's clock at the latest, in milliseconds; zero where the node had not seen
+	// that clock yet.
+	UntilMs int64 `json:"untilMs,omitempty"`
+}
+
+func (r leaseRow) encode() []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic(fmt.Sprintf("lease can't be encoded: %v", err))
+	}
+	return value
+}
+
+// decodeLease reads a lease; one that can't be read names no writer and no end, and still stands.
+func decodeLease(value []byte) leaseRow {
+	var r leaseRow
+	if json.Unmarshal(value, &r) != nil {
+		return leaseRow{}
+	}
+	return r
+}
+
+// storeClock is an answer's view of the store's clock: it showed the reading no earlier than the question was sent.
+type storeClock struct {
+	reading time.Duration
+	sent    time.Time
+}
+
+// latest returns the greatest reading that the store's clock may show at a time.
+func (c storeClock) latest(at time.Time) time.Duration {
+	return c.reading + time.Duration(float64(at.Sub(c.sent))*(1+driftShare))
+}
+
 // peerLease is another node's lease as the store showed it.
 type peerLease struct {
 	version uint64
 	since   time.Duration
 	seenAt  time.Duration
+	until   time.Duration
 }
 
 func (k *Keeper) leaseValid(now time.Time) bool { return now.Before(k.lease.until) }
@@ -78,12 +117,18 @@
 	}
 	k.lease.renewal = r
 	key := k.leaseKey(k.config.Node)
+	row := leaseRow{
+		Writer: r.writer,
+	}
+	if k.clock.reading > 0 {
+		row.UntilMs = k.clock.latest(now.Add(k.config.LeaseTerm)).Milliseconds()
+	}
 	k.emit(CommitEffect{
 		ID:      r.id,
 		Purpose: PurposeRenew,
 		Commit: ibisstore.Commit{
 			Conditions: []ibisstore.Condition{{Key: key, Version: k.lease.version}},
-			Writes:     []ibisstore.Write{{Key: key, Value: []byte(r.writer)}},
+			Writes:     []ibisstore.Write{{Key: key, Value: row.encode()}},
 		},
 	})
 }
@@ -93,6 +138,7 @@
 	k.lease.renewal = nil
 	switch result.Outcome {
 	case ibisstore.OutcomeApplied:
+		k.takeClock(result.Clock, r.sentAt)
 		k.lease.version = result.Version
 		k.lease.lost = nil
 		k.extend(r.sentAt, now)
@@ -109,6 +155,16 @@
 	}
 }
 
+// takeClock notes the store's clock from the answer to a question.
+func (k *Keeper) takeClock(reading time.Duration, sent time.Time) {
+	if reading > 0 && sent.After(k.clock.sent) {
+		k.clock = storeClock{
+			reading: reading,
+			sent:    sent,
+		}
+	}
+}
+
 // extend makes the lease last for a term from when its renewal was sent. After a lapse others may have taken the ranges,
 // so the page must be read anew before anything is granted.
 func (k *Keeper) extend(sentAt, now time.Time) {
@@ -133,8 +189,9 @@
 		}
 	}
 	k.lease.version = current.Version
+	writer := decodeLease(current.Value).Writer
 	for _, lost := range k.lease.lost {
-		if current.Version != 0 && string(current.Value) == lost.writer {
+		if current.Version != 0 && writer == lost.writer {
 			k.extend(lost.sentAt, now)
 			return
 		}
@@ -153,6 +210,7 @@
 			version: row.Version,
 			since:   snapshot.Clock,
 			seenAt:  snapshot.Clock,
+			until:   time.Duration(decodeLease(row.Value).UntilMs) * time.Millisecond,
 		}
 		if known, ok := k.peers[node]; ok && known.version == row.Version {
 			p.since = known.since
@@ -180,8 +238,12 @@
 	seen[node] = p
 }
 
-// lapsed reports whether no grant under the lease can still stand.
+// lapsed reports whether no grant under the lease can still stand: its end by the store's clock has passed, or it has been
+// seen unchanged for a whole term.
 func (k *Keeper) lapsed(p peerLease) bool {
+	if p.until > 0 && p.seenAt >= p.until+takeoverSlack {
+		return true
+	}
 	return p.seenAt-p.since >= k.config.LeaseTerm+takeoverSlack
 }
 
--- a/internal/relay/ibiskeep/world_test.go
+++ b/internal/relay/ibiskeep/world_test.go
@@ -391,7 +391,7 @@
 		conflict = conflict || row.Version != condition.Version
 	}
 	if conflict {
-		return ibisstore.Result{Outcome: ibisstore.OutcomeConflict, Rows: rows}
+		return ibisstore.Result{Outcome: ibisstore.OutcomeConflict, Rows: rows, Clock: w.clock()}
 	}
 	w.version++
 	for _, write := range c.Writes {
@@ -400,7 +400,7 @@
 	for _, key := range c.Removes {
 		delete(w.rows, key)
 	}
-	return ibisstore.Result{Outcome: ibisstore.OutcomeApplied, Version: w.version}
+	return ibisstore.Result{Outcome: ibisstore.OutcomeApplied, Version: w.version, Clock: w.clock()}
 }
 
 func (w *world) read(n *node, boot int, e ibiskeep.ReadEffect, asked time.Time) {
@@ -416,8 +416,11 @@
 	w.back(n, boot, event)
 }
 
+// clock returns the store's clock, which began long before the nodes.
+func (w *world) clock() time.Duration { return w.now.Sub(start) + time.Hour }
+
 func (w *world) snapshot(table string) *ibisstore.Snapshot {
-	s := &ibisstore.Snapshot{Version: w.version, Clock: w.now.Sub(start)}
+	s := &ibisstore.Snapshot{Version: w.version, Clock: w.clock()}
 	for key, row := range w.rows {
 		if key.Table == table {
 			s.Rows = append(s.Rows, row)
--- a/internal/relay/ibisstore/store.go
+++ b/internal/relay/ibisstore/store.go
@@ -87,6 +87,8 @@
 	Outcome Outcome
 	// Version is the version of the written rows, when applied.
 	Version uint64
+	// Clock is the store's steady clock when it answered, zero without an answer.
+	Clock time.Duration
 	// Rows are the conditioned rows as they stand, after a conflict.
 	Rows []Row
 	// Err says why the commit was refused or has no answer.
--- a/internal/relay/ibiswarden/warden.go
+++ b/internal/relay/ibiswarden/warden.go
@@ -134,6 +134,13 @@
 	return w.keeper.LeaseUntil()
 }
 
+// Owns reports whether the node owns ranges.
+func (w *Warden) Owns() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.keeper.Owns()
+}
+
 // PageVersion returns the version of the page that answers are given from.
 func (w *Warden) PageVersion() uint64 {
 	w.mu.Lock()
