--- /dev/null
+++ b/internal/relay/ibisguard/admit.go
@@ -0,0 +1,132 @@
+package ibisguard
+
+import (
+	"context"
+	"time"
+
+	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
+)
+
+// verdict is what the gate said of a request.
+type verdict struct {
+	admitted   bool
+	reason     ibisadmit.Reason
+	retryAfter time.Duration
+}
+
+// admit waits until the gate gives the order a slot or refuses it.
+func (g *Guard) admit(ctx context.Context, order ibisorder.Order) (ibisadmit.RequestID, ibisroster.Life, ibisorder.Answer, bool) {
+	g.mu.Lock()
+	if refusal, ok := g.precheck(order); !ok {
+		g.figures.Refused++
+		g.mu.Unlock()
+		return 0, ibisroster.Life{}, refusal, false
+	}
+	now := g.clock.Now()
+	g.nextID++
+	id := g.nextID
+	answer := make(chan verdict, 1)
+	g.waiting[id] = answer
+	life := g.server.Life
+	g.apply(ibisadmit.ArriveEvent{
+		ID:       id,
+		Class:    order.Class,
+		Target:   order.Target,
+		Deadline: order.Deadline,
+	}, now)
+	g.tick()
+	g.mu.Unlock()
+	select {
+	case v := <-answer:
+		return id, life, refusalOf(v), v.admitted
+	case <-ctx.Done():
+		return 0, life, g.cancel(id, answer, ctx.Err()), false
+	}
+}
+
+// cancel takes back an order whose caller left while it waited.
+func (g *Guard) cancel(id ibisadmit.RequestID, answer chan verdict, err error) ibisorder.Answer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.waiting[id]; ok {
+		delete(g.waiting, id)
+		g.apply(ibisadmit.CancelEvent{ID: id}, g.clock.Now())
+	} else if v := <-answer; v.admitted {
+		g.apply(ibisadmit.FinishEvent{ID: id}, g.clock.Now())
+	}
+	return ibisorder.NotRun(ibisorder.ReasonCancelled, 0, err)
+}
+
+func (g *Guard) precheck(order ibisorder.Order) (ibisorder.Answer, bool) {
+	switch {
+	case g.rules == nil:
+		return ibisorder.NotRun(ibisorder.ReasonNoConfig, 0, nil), false
+	case g.gate == nil || g.server.Service != order.Service || order.Server != "" && order.Server != g.server.Life.ID:
+		return ibisorder.NotRun(ibisorder.ReasonOtherServer, 0, nil), false
+	case g.stopping:
+		return ibisorder.NotRun(ibisorder.ReasonStopping, 0, nil), false
+	case g.rules.Out:
+		return ibisorder.NotRun(ibisorder.Reason(ibisadmit.ReasonDomainOut), 0, nil), false
+	}
+	return ibisorder.Answer{}, true
+}
+
+func refusalOf(v verdict) ibisorder.Answer {
+	if v.admitted {
+		return ibisorder.Answer{}
+	}
+	return ibisorder.NotRun(ibisorder.Reason(v.reason), v.retryAfter, nil)
+}
+
+func (g *Guard) head(id ibisadmit.RequestID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(ibisadmit.HeadEvent{ID: id}, g.clock.Now())
+}
+
+func (g *Guard) finish(_ ibisadmit.RequestID, e ibisadmit.FinishEvent) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(e, g.clock.Now())
+}
+
+// apply hands an event to the gate and carries its effects out.
+func (g *Guard) apply(event ibisadmit.Event, now time.Time) {
+	for _, effect := range g.gate.Update(event, now) {
+		switch e := effect.(type) {
+		case ibisadmit.AdmitEffect:
+			g.figures.Admitted++
+			g.tell(e.ID, verdict{admitted: true})
+		case ibisadmit.RefuseEffect:
+			g.figures.Refused++
+			g.tell(e.ID, verdict{reason: e.Reason, retryAfter: e.RetryAfter})
+		case ibisadmit.DrainedEffect:
+		}
+	}
+}
+
+func (g *Guard) tell(id ibisadmit.RequestID, v verdict) {
+	if answer, ok := g.waiting[id]; ok {
+		delete(g.waiting, id)
+		answer <- v
+	}
+}
+
+// tick keeps the gate's time going while something waits.
+func (g *Guard) tick() {
+	if g.ticking || len(g.waiting) == 0 {
+		return
+	}
+	g.ticking = true
+	g.clock.After(ibisadmit.TickPeriod, func(now time.Time) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.ticking = false
+		if g.gate != nil {
+			g.apply(ibisadmit.TickEvent{}, now)
+		}
+		g.tick()
+	})
+}
--- a/internal/relay/ibiskeep/keeper.go
+++ b/internal/relay/ibiskeep/keeper.go
@@ -103,16 +103,6 @@
 	at time.Time
 }
 
-// pendingCommit is a commit of the page that is not settled.
-type pendingCommit struct {
-	id      uint64
-	purpose Purpose
-	commit  ibisstore.Commit
-	page    Page
-	sent    bool
-	retryAt time.Time
-}
-
 // New returns a keeper that knows nothing yet.
 func New(config Config, now time.Time) *Keeper {
 	return &Keeper{
@@ -167,9 +157,6 @@
 // LeaseUntil returns the end of the node's lease, zero where it has none.
 func (k *Keeper) LeaseUntil() time.Time { return k.lease.until }
 
-// Standing says where a key stands from this node's view.
-type Standing string
-
 const (
 	// StandingHeld means that the own backend server holds the key.
 	StandingHeld Standing = "held"
@@ -181,33 +168,6 @@
 	StandingNowhere Standing = "nowhere"
 )
 
-// Stand returns where the key stands and the node that owns it.
-func (k *Keeper) Stand(key int, now time.Time) (Standing, ibisid.NodeName) {
-	r, ok := k.page.Find(key)
-	if !ok {
-		return StandingNowhere, ""
-	}
-	if r.Owner.Node != k.config.Node {
-		return StandingElsewhere, r.Owner.Node
-	}
-	if now.Before(k.server.grantUntil) && k.server.wasGranted(key) && k.grantable(r) {
-		return StandingHeld, r.Owner.Node
-	}
-	if r.Next != "" || k.server.leaving || k.server.ended {
-		return StandingNowhere, r.heir()
-	}
-	return StandingComing, r.Owner.Node
-}
-
-func (s *server) wasGranted(key int) bool {
-	for _, g := range s.grants {
-		if g.From <= key && key <= g.To {
-			return true
-		}
-	}
-	return false
-}
-
 func (k *Keeper) emit(e Effect) { k.effects = append(k.effects, e) }
 
 func (k *Keeper) pageKey() ibisstore.Key {
@@ -308,67 +268,5 @@
 	return 2 * k.config.RenewEvery
 }
 
-// propose sends a new page under the conditions; the page's own version is always one.
-func (k *Keeper) propose(purpose Purpose, page Page, conditions []ibisstore.Condition, removes []ibisstore.Key) {
-	k.lastID++
-	key := k.pageKey()
-	k.pending = &pendingCommit{
-		id:      k.lastID,
-		purpose: purpose,
-		page:    page,
-		sent:    true,
-		commit: ibisstore.Commit{
-			Conditions: append([]ibisstore.Condition{{Key: key, Version: k.pageRow}}, conditions...),
-			Writes:     []ibisstore.Write{{Key: key, Value: page.Encode()}},
-			Removes:    removes,
-		},
-	}
-	k.emit(CommitEffect{ID: k.pending.id, Purpose: purpose, Commit: k.pending.commit})
-}
-
-func (k *Keeper) committed(e CommitEvent, now time.Time) {
-	if k.lease.renewal != nil && e.ID == k.lease.renewal.id {
-		k.renewed(e.Result, now)
-		return
-	}
-	p := k.pending
-	if p == nil || p.id != e.ID {
-		return
-	}
-	switch e.Result.Outcome {
-	case ibisstore.OutcomeApplied:
-		k.pending = nil
-		if e.Result.Version > k.pageRow {
-			k.page, k.pageRow, k.pageKnown = p.page, e.Result.Version, true
-		}
-	case ibisstore.OutcomeConflict:
-		k.pending = nil
-		k.conflicted(e.Result, now)
-	case ibisstore.OutcomeRefused, ibisstore.OutcomeUnknown:
-		// The same commit again: either takes effect once, and until then nothing that it gives away is granted.
-		p.sent = false
-		p.retryAt = now.Add(retryAfter)
-		if e.Result.Outcome == ibisstore.OutcomeRefused && p.purpose != PurposeHandover {
-			k.pending = nil
-		}
-	}
-}
-
-// conflicted takes in the rows that a commit found changed.
-func (k *Keeper) conflicted(result ibisstore.Result, now time.Time) {
-	for _, row := range result.Rows {
-		switch row.Key.Table {
-		case TablePages:
-			k.takePage(row)
-		case TableLeases:
-			k.leasesAt = time.Time{}
-		}
-	}
-	if len(result.Rows) == 0 {
-		k.pageStale = true
-		k.retryRead = now
-	}
-}
-
 // PageVersion returns the version of the page's row, zero where none is known.
 func (k *Keeper) PageVersion() uint64 { return k.pageRow }
