--- a/internal/measure/ibissoak/caller.go
+++ b/internal/measure/ibissoak/caller.go
@@ -102,7 +102,9 @@
 		index:  index,
 		random: rand.New(rand.NewPCG(s.config.Seed, uint64(index)+100)),
 		client: &http.Client{
-			Transport: &http.Transport{DisableCompression: true},
+			Transport: &http.Transport{
+				DisableCompression: true,
+			},
 		},
 	}
 }
--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -109,13 +109,22 @@
 	downs := []ibisrowstore.Down{ibisrowstore.DownSilent, ibisrowstore.DownReset, ibisrowstore.DownBusy, ibisrowstore.DownMany}
 	switch s.random.IntN(4) {
 	case 0:
-		return ibisrowstore.Faults{DelayMs: 100 + s.random.IntN(400)}
+		return ibisrowstore.Faults{
+			DelayMs: 100 + s.random.IntN(400),
+		}
 	case 1:
-		return ibisrowstore.Faults{Lost: 0.4}
+		return ibisrowstore.Faults{
+			Lost: 0.4,
+		}
 	case 2:
-		return ibisrowstore.Faults{Late: 0.4, LateMs: 500 + s.random.IntN(3000)}
+		return ibisrowstore.Faults{
+			Late:   0.4,
+			LateMs: 500 + s.random.IntN(3000),
+		}
+	}
+	return ibisrowstore.Faults{
+		Down: downs[s.random.IntN(len(downs))],
 	}
-	return ibisrowstore.Faults{Down: downs[s.random.IntN(len(downs))]}
 }
 
 // during begins a fault and ends it after the span, or when the context ends.
--- a/internal/measure/ibissoak/node.go
+++ b/internal/measure/ibissoak/node.go
@@ -191,7 +191,9 @@
 
 // ready asks whether the node can serve.
 func (n *node) ready() bool {
-	client := http.Client{Timeout: 500 * time.Millisecond}
+	client := http.Client{
+		Timeout: 500 * time.Millisecond,
+	}
 	response, err := client.Get("http://" + n.address(portReadiness) + "/-/readiness")
 	if err != nil {
 		return false
--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -104,7 +104,9 @@
 	if err != nil {
 		return Result{}, fmt.Errorf("store: %w", err)
 	}
-	storeServer := &http.Server{Handler: s.server}
+	storeServer := &http.Server{
+		Handler: s.server,
+	}
 	go func() { _ = storeServer.Serve(listener) }()
 	defer func() { _ = storeServer.Close() }()
 	defer s.end()
--- a/internal/relay/ibisfront/attempt.go
+++ b/internal/relay/ibisfront/attempt.go
@@ -49,7 +49,11 @@
 	f.nextID++
 	now := f.clock.Now()
 	chooser := f.choosers[p.service.Name]
-	chooser.Update(ibischoose.SentEvent{ID: f.nextID, Node: node, Class: class}, now)
+	chooser.Update(ibischoose.SentEvent{
+		ID:    f.nextID,
+		Node:  node,
+		Class: class,
+	}, now)
 	return chooser, f.nextID, now
 }
 
--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -104,9 +104,11 @@
 		choosers: make(map[ibisid.ServiceName]*ibischoose.Chooser),
 		splitter: ibisroute.NewSplitter(),
 		random:   random,
-		retries:  budget{tokens: retryBurst},
-		down:     make(ibisset.Set[ibisid.NodeName]),
-		longest:  make(map[ibisid.ClassName]time.Duration),
+		retries: budget{
+			tokens: retryBurst,
+		},
+		down:    make(ibisset.Set[ibisid.NodeName]),
+		longest: make(map[ibisid.ClassName]time.Duration),
 	}
 }
 
@@ -142,7 +144,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.pages[service].version < version {
-		f.pages[service] = pageView{page: page, version: version}
+		f.pages[service] = pageView{
+			page:    page,
+			version: version,
+		}
 	}
 }
 
@@ -218,7 +223,9 @@
 				})
 			}
 		}
-		chooser.Update(ibischoose.CandidatesEvent{Candidates: candidates}, f.clock.Now())
+		chooser.Update(ibischoose.CandidatesEvent{
+			Candidates: candidates,
+		}, f.clock.Now())
 	}
 }
 
--- a/internal/relay/ibisfront/pursue.go
+++ b/internal/relay/ibisfront/pursue.go
@@ -32,7 +32,12 @@
 		}
 		began := f.clock.Now()
 		last = f.attempt(ctx, p, member, order)
-		tries = append(tries, try{node: member.Node, reason: last.Reason, outcome: last.Outcome, took: f.clock.Now().Sub(began)})
+		tries = append(tries, try{
+			node:    member.Node,
+			reason:  last.Reason,
+			outcome: last.Outcome,
+			took:    f.clock.Now().Sub(began),
+		})
 		if last.Arrived {
 			arrivals++
 		}
--- a/internal/relay/ibisguard/admit.go
+++ b/internal/relay/ibisguard/admit.go
@@ -52,9 +52,13 @@
 	defer g.mu.Unlock()
 	if _, ok := g.waiting[id]; ok {
 		delete(g.waiting, id)
-		g.apply(ibisadmit.CancelEvent{ID: id}, g.clock.Now())
+		g.apply(ibisadmit.CancelEvent{
+			ID: id,
+		}, g.clock.Now())
 	} else if v := <-answer; v.admitted {
-		g.apply(ibisadmit.FinishEvent{ID: id}, g.clock.Now())
+		g.apply(ibisadmit.FinishEvent{
+			ID: id,
+		}, g.clock.Now())
 	}
 	return ibisorder.NotRun(ibisorder.ReasonCancelled, 0, err)
 }
@@ -83,10 +87,12 @@
 func (g *Guard) head(id ibisadmit.RequestID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.apply(ibisadmit.HeadEvent{ID: id}, g.clock.Now())
+	g.apply(ibisadmit.HeadEvent{
+		ID: id,
+	}, g.clock.Now())
 }
 
-func (g *Guard) finish(_ ibisadmit.RequestID, e ibisadmit.FinishEvent) {
+func (g *Guard) finish(e ibisadmit.FinishEvent) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.apply(e, g.clock.Now())
@@ -98,10 +104,15 @@
 		switch e := effect.(type) {
 		case ibisadmit.AdmitEffect:
 			g.figures.Admitted++
-			g.tell(e.ID, verdict{admitted: true})
+			g.tell(e.ID, verdict{
+				admitted: true,
+			})
 		case ibisadmit.RefuseEffect:
 			g.figures.Refused++
-			g.tell(e.ID, verdict{reason: e.Reason, retryAfter: e.RetryAfter})
+			g.tell(e.ID, verdict{
+				reason:     e.Reason,
+				retryAfter: e.RetryAfter,
+			})
 		case ibisadmit.DrainedEffect:
 		}
 	}
--- a/internal/relay/ibisguard/guard.go
+++ b/internal/relay/ibisguard/guard.go
@@ -95,8 +95,12 @@
 	now := g.clock.Now()
 	for id, answer := range g.waiting {
 		delete(g.waiting, id)
-		g.apply(ibisadmit.CancelEvent{ID: id}, now)
-		answer <- verdict{reason: reason}
+		g.apply(ibisadmit.CancelEvent{
+			ID: id,
+		}, now)
+		answer <- verdict{
+			reason: reason,
+		}
 	}
 }
 
@@ -137,13 +141,17 @@
 		return g.withLoad(refusal)
 	}
 	if refusal, ok := g.checkKey(order); !ok {
-		g.finish(id, ibisadmit.FinishEvent{ID: id})
+		g.finish(ibisadmit.FinishEvent{
+			ID: id,
+		})
 		return g.withLoad(refusal)
 	}
 	began := g.clock.Now()
 	left := order.Deadline.Sub(began)
 	if left < shortestTime {
-		g.finish(id, ibisadmit.FinishEvent{ID: id})
+		g.finish(ibisadmit.FinishEvent{
+			ID: id,
+		})
 		return g.withLoad(ibisorder.NotRun(ibisorder.ReasonDeadline, 0, nil))
 	}
 	answer := g.backend.Send(ctx, order, life, left)
@@ -152,14 +160,22 @@
 		if answer.Reason == ibisorder.ReasonServerEnded {
 			g.ownership.Ended(life)
 		}
-		g.finish(id, ibisadmit.FinishEvent{ID: id, Latency: latency, Failed: answer.Arrived})
+		g.finish(ibisadmit.FinishEvent{
+			ID:      id,
+			Latency: latency,
+			Failed:  answer.Arrived,
+		})
 		return g.withLoad(answer)
 	}
 	g.head(id)
 	answer.Body = &countedBody{
 		from: answer.Body,
 		end: sync.OnceFunc(func() {
-			g.finish(id, ibisadmit.FinishEvent{ID: id, Latency: latency, Failed: answer.Status >= http.StatusInternalServerError})
+			g.finish(ibisadmit.FinishEvent{
+				ID:      id,
+				Latency: latency,
+				Failed:  answer.Status >= http.StatusInternalServerError,
+			})
 		}),
 	}
 	return g.withLoad(answer)
--- a/internal/relay/ibisguard/rules.go
+++ b/internal/relay/ibisguard/rules.go
@@ -85,7 +85,9 @@
 			g.apply(ibisadmit.DrainEvent{}, now)
 		}
 	} else {
-		g.apply(ibisadmit.PolicyEvent{Policy: rules.Policy}, now)
+		g.apply(ibisadmit.PolicyEvent{
+			Policy: rules.Policy,
+		}, now)
 	}
 	wasOut := before != nil && before.Out
 	if rules.Out && !wasOut {
--- a/internal/relay/ibiskeep/commit.go
+++ b/internal/relay/ibiskeep/commit.go
@@ -26,12 +26,22 @@
 		page:    page,
 		sent:    true,
 		commit: ibisstore.Commit{
-			Conditions: append([]ibisstore.Condition{{Key: key, Version: k.pageRow}}, conditions...),
-			Writes:     []ibisstore.Write{{Key: key, Value: page.Encode()}},
-			Removes:    removes,
+			Conditions: append([]ibisstore.Condition{{
+				Key:     key,
+				Version: k.pageRow,
+			}}, conditions...),
+			Writes: []ibisstore.Write{{
+				Key:   key,
+				Value: page.Encode(),
+			}},
+			Removes: removes,
 		},
 	}
-	k.emit(CommitEffect{ID: k.pending.id, Purpose: purpose, Commit: k.pending.commit})
+	k.emit(CommitEffect{
+		ID:      k.pending.id,
+		Purpose: purpose,
+		Commit:  k.pending.commit,
+	})
 }
 
 func (k *Keeper) committed(e CommitEvent, now time.Time) {
--- a/internal/relay/ibiskeep/heartbeat.go
+++ b/internal/relay/ibiskeep/heartbeat.go
@@ -36,7 +36,10 @@
 		grantUntil: now,
 	}
 	for _, h := range e.Holds {
-		k.server.grants = append(k.server.grants, granted{Span: h.Span, at: now})
+		k.server.grants = append(k.server.grants, granted{
+			Span: h.Span,
+			at:   now,
+		})
 	}
 	if len(e.Holds) > 0 {
 		k.server.grantUntil = now.Add(k.longestGrant())
@@ -132,13 +135,19 @@
 			return
 		}
 	}
-	s.grants = append(s.grants, granted{Span: span, at: now})
+	s.grants = append(s.grants, granted{
+		Span: span,
+		at:   now,
+	})
 }
 
 // grantable reports whether the own backend server is to hold the range.
 func (k *Keeper) grantable(r Range) bool {
 	s := &k.server
-	if r.Owner != (Owner{Node: k.config.Node, Life: s.life}) || r.Next != "" || s.leaving || s.ended {
+	if r.Owner != (Owner{
+		Node: k.config.Node,
+		Life: s.life,
+	}) || r.Next != "" || s.leaving || s.ended {
 		return false
 	}
 	return !k.isOut() && !k.givesAway(r)
--- a/internal/relay/ibiskeep/keeper.go
+++ b/internal/relay/ibiskeep/keeper.go
@@ -230,7 +230,11 @@
 	if k.pending != nil {
 		if !k.pending.sent && !now.Before(k.pending.retryAt) {
 			k.pending.sent = true
-			k.emit(CommitEffect{ID: k.pending.id, Purpose: k.pending.purpose, Commit: k.pending.commit})
+			k.emit(CommitEffect{
+				ID:      k.pending.id,
+				Purpose: k.pending.purpose,
+				Commit:  k.pending.commit,
+			})
 		}
 		return
 	}
@@ -256,7 +260,10 @@
 	if pages {
 		k.refresh, k.refreshed = false, now
 	}
-	k.emit(ReadEffect{Pages: pages, Leases: leases})
+	k.emit(ReadEffect{
+		Pages:  pages,
+		Leases: leases,
+	})
 }
 
 // readEvery is how often the leases are read. The nodes that come first in coordinating read them at each renewal, the
--- a/internal/relay/ibiskeep/lease.go
+++ b/internal/relay/ibiskeep/lease.go
@@ -127,8 +127,14 @@
 		ID:      r.id,
 		Purpose: PurposeRenew,
 		Commit: ibisstore.Commit{
-			Conditions: []ibisstore.Condition{{Key: key, Version: k.lease.version}},
-			Writes:     []ibisstore.Write{{Key: key, Value: row.encode()}},
+			Conditions: []ibisstore.Condition{{
+				Key:     key,
+				Version: k.lease.version,
+			}},
+			Writes: []ibisstore.Write{{
+				Key:   key,
+				Value: row.encode(),
+			}},
 		},
 	})
 }
--- a/internal/relay/ibiskeep/plan.go
+++ b/internal/relay/ibiskeep/plan.go
@@ -49,7 +49,10 @@
 			return Owner{}, "", false
 		}
 		if !s.leaving && !s.ended && !k.isOut() {
-			return Owner{Node: k.config.Node, Life: s.life}, "", true
+			return Owner{
+				Node: k.config.Node,
+				Life: s.life,
+			}, "", true
 		}
 		to, ok := k.leastLoaded(page)
 		return to, "", ok
@@ -63,7 +66,10 @@
 	}
 	if r.Next != "" {
 		if m, ok := k.eligible(r.Next); ok {
-			return Owner{Node: m.Node, Life: m.Server.Life}, s.handover(r.Span), true
+			return Owner{
+				Node: m.Node,
+				Life: m.Server.Life,
+			}, s.handover(r.Span), true
 		}
 	}
 	to, ok := k.leastLoaded(page)
@@ -120,7 +126,10 @@
 			best = m
 		}
 	}
-	return Owner{Node: best.Node, Life: best.Server.Life}, best.Node != ""
+	return Owner{
+		Node: best.Node,
+		Life: best.Server.Life,
+	}, best.Node != ""
 }
 
 // coordinate does what concerns other nodes' ranges. Any node may; the commit's conditions decide, and nodes ranked
@@ -219,7 +228,10 @@
 		}
 		done[r.Owner.Node] = true
 		key := k.leaseKey(r.Owner.Node)
-		conditions = append(conditions, ibisstore.Condition{Key: key, Version: p.version})
+		conditions = append(conditions, ibisstore.Condition{
+			Key:     key,
+			Version: p.version,
+		})
 		if p.version != 0 {
 			removes = append(removes, key)
 		}
--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -104,7 +104,10 @@
 func (x *exchange) write(out *http.Request) error {
 	x.writeDone = make(chan error, 1)
 	send := func() error {
-		w := bufio.NewWriterSize(countedWriter{to: x.conn.tcp, count: &x.written}, bufferBytes)
+		w := bufio.NewWriterSize(countedWriter{
+			to:    x.conn.tcp,
+			count: &x.written,
+		}, bufferBytes)
 		if err := out.Write(w); err != nil {
 			return err
 		}
--- a/internal/relay/ibislink/request.go
+++ b/internal/relay/ibislink/request.go
@@ -45,8 +45,12 @@
 
 func (r Request) httpRequest() *http.Request {
 	out := &http.Request{
-		Method:        r.Method,
-		URL:           &url.URL{Scheme: "http", Host: r.Host, Opaque: r.URI},
+		Method: r.Method,
+		URL: &url.URL{
+			Scheme: "http",
+			Host:   r.Host,
+			Opaque: r.URI,
+		},
 		Host:          r.Host,
 		Header:        r.Header,
 		ContentLength: r.Length,
--- a/internal/relay/ibiswarden/registrar.go
+++ b/internal/relay/ibiswarden/registrar.go
@@ -118,14 +118,24 @@
 	if !remove && written == string(value) {
 		return true
 	}
-	key := ibisstore.Key{Table: ibiskeep.TablePages, Part: PartMembers, Name: string(want.Node)}
+	key := ibisstore.Key{
+		Table: ibiskeep.TablePages,
+		Part:  PartMembers,
+		Name:  string(want.Node),
+	}
 	commit := ibisstore.Commit{
-		Conditions: []ibisstore.Condition{{Key: key, Version: version}},
+		Conditions: []ibisstore.Condition{{
+			Key:     key,
+			Version: version,
+		}},
 	}
 	if remove {
 		commit.Removes = []ibisstore.Key{key}
 	} else {
-		commit.Writes = []ibisstore.Write{{Key: key, Value: value}}
+		commit.Writes = []ibisstore.Write{{
+			Key:   key,
+			Value: value,
+		}}
 	}
 	result := r.store.Commit(ctx, commit)
 	r.mu.Lock()
--- a/internal/relay/ibiswarden/warden.go
+++ b/internal/relay/ibiswarden/warden.go
@@ -94,7 +94,10 @@
 			zap.Uint64("version", result.Version),
 			zap.Error(result.Err))
 	}
-	w.Update(ibiskeep.CommitEvent{ID: e.ID, Result: result})
+	w.Update(ibiskeep.CommitEvent{
+		ID:     e.ID,
+		Result: result,
+	})
 }
 
 func (w *Warden) read(e ibiskeep.ReadEffect) {
@@ -160,5 +163,7 @@
 
 // Ended says that the backend server's port takes no connections.
 func (w *Warden) Ended(life ibisroster.Life) {
-	w.Update(ibiskeep.EndedEvent{Life: life})
+	w.Update(ibiskeep.EndedEvent{
+		Life: life,
+	})
 }
--- a/internal/standin/ibisapp/heartbeat.go
+++ b/internal/standin/ibisapp/heartbeat.go
@@ -99,7 +99,9 @@
 	if err != nil {
 		return err
 	}
-	client := http.Client{Timeout: ackTimeout}
+	client := http.Client{
+		Timeout: ackTimeout,
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return err
@@ -126,7 +128,13 @@
 		if !fromOK || !toOK || !tokenOK {
 			continue
 		}
-		h := hold{from: int(from), to: int(to), token: uint64(token), handover: handover, until: until}
+		h := hold{
+			from:     int(from),
+			to:       int(to),
+			token:    uint64(token),
+			handover: handover,
+			until:    until,
+		}
 		for _, old := range s.holds {
 			if old.from <= h.to && h.from <= old.to {
 				h.busy += old.busy
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -88,7 +88,9 @@
 		beats:  make(chan struct{}, 1),
 	}
 	s.up.Store(true)
-	s.http = &http.Server{Handler: s}
+	s.http = &http.Server{
+		Handler: s,
+	}
 	go func() { _ = s.http.Serve(listener) }()
 	go s.heartbeats()
 	return s, nil
--- a/internal/standin/ibisrowstore/handler.go
+++ b/internal/standin/ibisrowstore/handler.go
@@ -165,7 +165,11 @@
 	if !ok {
 		status = http.StatusPreconditionFailed
 	}
-	answer(w, status, rowsAnswer{Rows: current, Ver: version, NowMs: s.store.nowMs()})
+	answer(w, status, rowsAnswer{
+		Rows:  current,
+		Ver:   version,
+		NowMs: s.store.nowMs(),
+	})
 }
 
 func changed(t transaction) []rowKey {
@@ -180,7 +184,12 @@
 	q := r.URL.Query()
 	limit, _ := strconv.Atoi(q.Get("limit"))
 	rows, more, version := s.store.get(q.Get("table"), q.Get("part"), q.Get("from"), q.Get("to"), limit)
-	answer(w, http.StatusOK, rowsAnswer{Rows: rows, HasMore: more, Ver: version, NowMs: s.store.nowMs()})
+	answer(w, http.StatusOK, rowsAnswer{
+		Rows:    rows,
+		HasMore: more,
+		Ver:     version,
+		NowMs:   s.store.nowMs(),
+	})
 }
 
 func (s *Server) rowsParts(w http.ResponseWriter, r *http.Request) {
@@ -205,13 +214,21 @@
 			return
 		}
 		if len(rows) > 0 {
-			answer(w, http.StatusOK, rowsAnswer{Rows: rows, Ver: version, NowMs: s.store.nowMs()})
+			answer(w, http.StatusOK, rowsAnswer{
+				Rows:  rows,
+				Ver:   version,
+				NowMs: s.store.nowMs(),
+			})
 			return
 		}
 		select {
 		case <-next:
 		case <-timeout.C:
-			answer(w, http.StatusOK, rowsAnswer{Rows: rows, Ver: version, NowMs: s.store.nowMs()})
+			answer(w, http.StatusOK, rowsAnswer{
+				Rows:  rows,
+				Ver:   version,
+				NowMs: s.store.nowMs(),
+			})
 			return
 		case <-r.Context().Done():
 			return
--- a/internal/standin/ibisrowstore/store.go
+++ b/internal/standin/ibisrowstore/store.go
@@ -125,7 +125,11 @@
 	for _, key := range t.Remove {
 		if _, ok := s.rows[key]; ok {
 			delete(s.rows, key)
-			s.history = append(s.history, row{rowKey: key, Ver: s.version, Removed: true})
+			s.history = append(s.history, row{
+				rowKey:  key,
+				Ver:     s.version,
+				Removed: true,
+			})
 		}
 	}
 	close(s.changed)
@@ -135,12 +139,27 @@
 
 // Put writes a row as the operator would, without a condition.
 func (s *Store) Put(table, part, key string, value []byte) {
-	s.apply(transaction{Writes: []row{{rowKey: rowKey{Table: table, Part: part, Key: key}, Value: value}}})
+	s.apply(transaction{
+		Writes: []row{{
+			rowKey: rowKey{
+				Table: table,
+				Part:  part,
+				Key:   key,
+			},
+			Value: value,
+		}},
+	})
 }
 
 // Drop removes a row as the operator would.
 func (s *Store) Drop(table, part, key string) {
-	s.apply(transaction{Remove: []rowKey{{Table: table, Part: part, Key: key}}})
+	s.apply(transaction{
+		Remove: []rowKey{{
+			Table: table,
+			Part:  part,
+			Key:   key,
+		}},
+	})
 }
 
 // get returns the rows of a range of a partition, in order, and whether more follow.
