A request whose first try may have run is never told 503

Seen on reading: a repeatable request without an answer at its first try and refused at the second ended as 'not run'. The test ('does not say that a request has not run whose first try may have run') failed before. Words of the platform are checked to stand in platform/ alone.

--- a/internal/relay/ibisfront/front_test.go
+++ b/internal/relay/ibisfront/front_test.go
@@ -173,6 +173,18 @@
 		Expect(p.sent).To(HaveLen(2))
 	})
 
+	It("does not say that a request has not run whose first try may have run", func() {
+		p.answer = func(n int, _ ibisid.NodeName) ibisorder.Answer {
+			if n == 0 {
+				return ibisorder.Unknown(ibisorder.ReasonBroken, nil)
+			}
+			return ibisorder.NotRun(ibisorder.Reason(ibisadmit.ReasonTarget), time.Second, nil)
+		}
+		answer := serve("/look/1")
+		Expect(len(p.sent)).To(BeNumerically(">=", 2))
+		Expect(answer.Outcome).To(Equal(ibisid.OutcomeUnknown))
+	})
+
 	It("keeps to the route's attempts", func() {
 		p.answer = func(int, ibisid.NodeName) ibisorder.Answer { return arrivedNotRun() }
 		answer := serve("/look/1")
--- a/internal/relay/ibisfront/pursue.go
+++ b/internal/relay/ibisfront/pursue.go
@@ -18,6 +18,7 @@
 	var tries []try
 	var last ibisorder.Answer
 	arrivals := 0
+	mayHaveRun := false
 	hint := ibisid.NodeName("")
 	for n := range maxTries {
 		if n == 0 && order.Key != ibisorder.NoKey {
@@ -44,6 +45,7 @@
 		if last.Outcome == ibisid.OutcomeDone {
 			return last, tries
 		}
+		mayHaveRun = mayHaveRun || last.Outcome == ibisid.OutcomeUnknown
 		hint = last.Owner
 		if hint != "" {
 			order.PageVersion = last.PageVersion
@@ -56,6 +58,10 @@
 			break
 		}
 	}
+	if last.Outcome == ibisid.OutcomeNotRun && mayHaveRun {
+		// The last try was refused, an earlier one may have run: "not run" would not be true of the request.
+		last.Outcome = ibisid.OutcomeUnknown
+	}
 	if last.Outcome == ibisid.OutcomeNotRun {
 		f.mu.Lock()
 		last.RetryAfter = f.spread(max(last.RetryAfter, defaultRetry))
--- a/packages_test.go
+++ b/packages_test.go
@@ -95,3 +95,33 @@
 		}
 	}
 }
+
+// TestPlatformWords checks that the platform's names of headers, paths and fields stand in platform/ alone, and in the
+// stand-ins that speak to it.
+func TestPlatformWords(t *testing.T) {
+	words := []string{
+		"Attempt-Id", "Time-Remaining-Ms", "Expected-Instance", "Caller-Service", "Not-Executed", "Shard-Key", "Server-Seal",
+		"rows-tx", "rows-get", "rows-feed", "/-/instances/", "in_service", "coldLeftMs", "weightedSplit", "ruleSet",
+	}
+	list, err := exec.Command("git", "ls-files", "*.go").Output()
+	if err != nil {
+		t.Fatal("list the files: ", err)
+	}
+	for file := range strings.Lines(string(list)) {
+		file = strings.TrimSpace(file)
+		allowed := strings.HasPrefix(file, "platform/") || strings.HasPrefix(file, "internal/standin/") ||
+			strings.HasPrefix(file, "internal/measure/ibissoak/") || strings.HasSuffix(file, "_test.go")
+		if allowed {
+			continue
+		}
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, word := range words {
+			if bytes.Contains(text, []byte(word)) {
+				t.Errorf("%s holds %q, which platform/ translates", file, word)
+			}
+		}
+	}
+}
