A cut range is free once its own part was released

Ruled out: a lost commit (none was pending) and the next owner (it had heartbeats). Change: grants are kept as the parts that were neither released nor left unreported.

--- a/internal/relay/ibiskeep/heartbeat.go
+++ b/internal/relay/ibiskeep/heartbeat.go
@@ -51,17 +51,39 @@
 	return time.Duration(float64(k.config.HoldMax) * (1 + driftShare))
 }
 
-// release notes a span that the backend server has released, with its handover.
+// release notes a span that the backend server has released, with its handover; of a grant that was wider the rest stands.
 func (s *server) release(r Released) {
 	s.released = append(s.released, r)
-	s.grants = slices.DeleteFunc(s.grants, func(g granted) bool { return r.From <= g.From && g.To <= r.To })
+	var rest []granted
+	for _, g := range s.grants {
+		for _, part := range g.Minus(r.Span) {
+			rest = append(rest, granted{
+				Span: part,
+				at:   g.at,
+			})
+		}
+	}
+	s.grants = rest
 }
 
-// forgetUnheld drops grants that the backend server doesn't report, once no answer that names them can still arrive.
+// forgetUnheld drops what the backend server doesn't report of its grants, once no answer that names them can still arrive.
 func (s *server) forgetUnheld(now time.Time) {
-	s.grants = slices.DeleteFunc(s.grants, func(g granted) bool {
-		return now.Sub(g.at) >= staleAnswer && !s.reports(g.Span)
-	})
+	var rest []granted
+	for _, g := range s.grants {
+		if now.Sub(g.at) < staleAnswer {
+			rest = append(rest, g)
+			continue
+		}
+		for _, h := range s.reported {
+			if part, ok := g.And(h.Span); ok {
+				rest = append(rest, granted{
+					Span: part,
+					at:   g.at,
+				})
+			}
+		}
+	}
+	s.grants = rest
 }
 
 func (s *server) reports(span Span) bool {
--- a/internal/relay/ibiskeep/page.go
+++ b/internal/relay/ibiskeep/page.go
@@ -26,6 +26,35 @@
 // Overlaps reports whether the spans share a key.
 func (s Span) Overlaps(other Span) bool { return s.From <= other.To && other.From <= s.To }
 
+// Minus returns the parts of the span that the other one doesn't hold.
+func (s Span) Minus(other Span) []Span {
+	if !s.Overlaps(other) {
+		return []Span{s}
+	}
+	var out []Span
+	if s.From < other.From {
+		out = append(out, Span{
+			From: s.From,
+			To:   other.From - 1,
+		})
+	}
+	if other.To < s.To {
+		out = append(out, Span{
+			From: other.To + 1,
+			To:   s.To,
+		})
+	}
+	return out
+}
+
+// And returns what both spans hold, and whether that is anything.
+func (s Span) And(other Span) (Span, bool) {
+	return Span{
+		From: max(s.From, other.From),
+		To:   min(s.To, other.To),
+	}, s.Overlaps(other)
+}
+
 // Owner is a backend server with the node beside it.
 type Owner struct {
 	// Node is the node.
--- a/internal/relay/ibiskeep/world_test.go
+++ b/internal/relay/ibiskeep/world_test.go
@@ -256,7 +256,10 @@
 			kept = append(kept, h)
 			continue
 		}
-		b.freed = append(b.freed, ibiskeep.Released{Span: h.Span, Handover: fmt.Sprintf("%s-%d", b.life.ID, h.Token)})
+		// Only what is left out is released; the rest of the span is held on.
+		for _, part := range without(h.Span, grant.Grants) {
+			b.freed = append(b.freed, ibiskeep.Released{Span: part, Handover: fmt.Sprintf("%s-%d", b.life.ID, h.Token)})
+		}
 	}
 	for _, g := range grant.Grants {
 		h := hold{Grant: g, until: until}
@@ -278,6 +281,19 @@
 	}
 }
 
+// without returns the parts of a span that no grant names.
+func without(span ibiskeep.Span, grants []ibiskeep.Grant) []ibiskeep.Span {
+	parts := []ibiskeep.Span{span}
+	for _, g := range grants {
+		var rest []ibiskeep.Span
+		for _, p := range parts {
+			rest = append(rest, p.Minus(g.Span)...)
+		}
+		parts = rest
+	}
+	return parts
+}
+
 func (w *world) expire(b *backend) {
 	b.holds = slices.DeleteFunc(b.holds, func(h hold) bool { return !w.now.Before(h.until) })
 }
