--- a/internal/relay/ibisguard/guard.go
+++ b/internal/relay/ibisguard/guard.go
@@ -112,13 +112,6 @@
 	g.refuseWaiting(ibisadmit.ReasonDraining)
 }
 
-// Server returns the backend server as it is known.
-func (g *Guard) Server() ibisroster.Server {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.server
-}
-
 // Figures returns what the guard decided so far.
 func (g *Guard) Figures() Figures {
 	g.mu.Lock()
--- a/internal/relay/ibishop/client.go
+++ b/internal/relay/ibishop/client.go
@@ -84,17 +84,13 @@
 	return ibisorder.NotRun(reason, 0, err)
 }
 
-// Sweep closes connections that idle for too long and forgets addresses that aren't in use any more.
-func (c *Client) Sweep(used func(address string) bool) {
+// Sweep closes connections that idle for too long.
+func (c *Client) Sweep() {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, pool := range c.pools {
+	for _, pool := range c.pools {
 		pool.Sweep(now)
-		if !used(address) {
-			pool.Close()
-			delete(c.pools, address)
-		}
 	}
 }
 
--- a/internal/relay/ibiskeep/keeper.go
+++ b/internal/relay/ibiskeep/keeper.go
@@ -68,7 +68,6 @@
 	page      Page
 	pageRow   uint64
 	pageKnown bool
-	pageRead  time.Time
 	pageStale bool
 	reading   bool
 	retryRead time.Time
@@ -78,7 +77,6 @@
 	clock     storeClock
 	needSince time.Time
 	balanceAt time.Time
-	started   time.Time
 	lastID    uint64
 	effects   []Effect
 }
@@ -104,12 +102,11 @@
 }
 
 // New returns a keeper that knows nothing yet.
-func New(config Config, now time.Time) *Keeper {
+func New(config Config) *Keeper {
 	return &Keeper{
 		config:    config,
 		peers:     make(map[ibisid.NodeName]peerLease),
 		pageStale: true,
-		started:   now,
 	}
 }
 
@@ -157,17 +154,6 @@
 // LeaseUntil returns the end of the node's lease, zero where it has none.
 func (k *Keeper) LeaseUntil() time.Time { return k.lease.until }
 
-const (
-	// StandingHeld means that the own backend server holds the key.
-	StandingHeld Standing = "held"
-	// StandingComing means that the own backend server owns the key and has not been granted it yet.
-	StandingComing Standing = "coming"
-	// StandingElsewhere means that another node owns the key.
-	StandingElsewhere Standing = "elsewhere"
-	// StandingNowhere means that nobody can serve the key at present.
-	StandingNowhere Standing = "nowhere"
-)
-
 func (k *Keeper) emit(e Effect) { k.effects = append(k.effects, e) }
 
 func (k *Keeper) pageKey() ibisstore.Key {
@@ -214,7 +200,6 @@
 		for _, row := range e.Pages.Rows {
 			k.takePage(row)
 		}
-		k.pageRead = e.Asked
 		k.pageStale = k.pageStale && e.Asked.Before(k.lease.began)
 	}
 	if e.Leases != nil {
--- a/internal/relay/ibiskeep/standing.go
+++ b/internal/relay/ibiskeep/standing.go
@@ -9,6 +9,17 @@
 // Standing says where a key stands from this node's view.
 type Standing string
 
+const (
+	// StandingHeld means that the own backend server holds the key.
+	StandingHeld Standing = "held"
+	// StandingComing means that the own backend server owns the key and has not been granted it yet.
+	StandingComing Standing = "coming"
+	// StandingElsewhere means that another node owns the key.
+	StandingElsewhere Standing = "elsewhere"
+	// StandingNowhere means that nobody can serve the key at present.
+	StandingNowhere Standing = "nowhere"
+)
+
 // Stand returns where the key stands and the node that owns it.
 func (k *Keeper) Stand(key int, now time.Time) (Standing, ibisid.NodeName) {
 	r, ok := k.page.Find(key)
--- a/internal/relay/ibiskeep/world_test.go
+++ b/internal/relay/ibiskeep/world_test.go
@@ -141,7 +141,7 @@
 		HoldMax:     holdMax,
 		LeaseTerm:   leaseTerm,
 		RenewEvery:  renewEvery,
-	}, w.now)
+	})
 	boot := n.boot
 	var tick func()
 	tick = func() {
--- a/internal/relay/ibisroster/roster.go
+++ b/internal/relay/ibisroster/roster.go
@@ -62,9 +62,6 @@
 // Revision changes with every change of the roster.
 func (r *Roster) Revision() uint64 { return r.revision }
 
-// Version returns the version of a member's row, zero where it is not known.
-func (r *Roster) Version(node ibisid.NodeName) uint64 { return r.members[node].version }
-
 // Member returns a member and whether it is known.
 func (r *Roster) Member(node ibisid.NodeName) (Member, bool) {
 	e, ok := r.members[node]
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -96,9 +96,6 @@
 	return s, nil
 }
 
-// ID returns the id that the server goes by.
-func (s *Server) ID() string { return s.config.ID }
-
 // Up reports whether the server runs.
 func (s *Server) Up() bool { return s.up.Load() }
 
