--- a/internal/measure/ibismatrix/bench.go
+++ b/internal/measure/ibismatrix/bench.go
@@ -21,7 +21,6 @@
 	"github.com/ibisridge/ibisridge/internal/peer/ibiscaller"
 	"github.com/ibisridge/ibisridge/internal/program/ibisembed"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisserver"
-	"github.com/ibisridge/ibisridge/internal/standin/ibisstore"
 )
 
 const (
@@ -46,17 +45,20 @@
 }
 
 func openBench(ctx context.Context) (*bench, error) {
-	store := ibisstore.New()
 	var sections ibisdoc.Sections
 	if err := json.Unmarshal(ibisexample.Document("kynnysmatto"), &sections); err != nil {
 		return nil, err
 	}
-	outcome := ibissection.New(store, store, ibistimer.New()).Init(ctx, uuid.NewString(), sections)
+	system, err := ibisembed.New(zap.NewNop())
+	if err != nil {
+		return nil, err
+	}
+	outcome := ibissection.New(system.Table(), system.Table(), ibistimer.New()).Init(ctx, uuid.NewString(), sections)
 	if outcome.Status != ibissection.StatusApplied {
-		return nil, fmt.Errorf("first document: %s: %s", outcome.Status, outcome.Reason)
+		return nil, errors.Join(fmt.Errorf("first document: %s: %s", outcome.Status, outcome.Reason), system.Close())
 	}
 	b := &bench{
-		System: ibisembed.New(store, zap.NewNop()),
+		System: system,
 		client: &http.Client{
 			Timeout: orderTimeout,
 			Transport: &http.Transport{
--- a/internal/measure/ibismatrix/fault.go
+++ b/internal/measure/ibismatrix/fault.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/program/ibisembed"
+	"github.com/ibisridge/ibisridge/internal/standin/ibisrowstore"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisserver"
-	"github.com/ibisridge/ibisridge/internal/standin/ibisstore"
 )
 
 const (
@@ -31,10 +31,10 @@
 // none is the end of a fault that can't be lifted or ends by itself.
 func none(*ibisembed.System, *ibisembed.Pair) {}
 
-func platformFault(name string, rule ibisstore.FaultRule) fault {
+func platformFault(name string, faults ibisrowstore.Faults) fault {
 	return fault{
 		name:  name,
-		begin: func(s *ibisembed.System, _ *ibisembed.Pair) { s.Store().Inject(rule) },
+		begin: func(s *ibisembed.System, _ *ibisembed.Pair) { s.Store().Inject(faults) },
 		end:   func(s *ibisembed.System, _ *ibisembed.Pair) { s.Store().Clear() },
 	}
 }
@@ -67,19 +67,17 @@
 			begin: none,
 			end:   none,
 		},
-		platformFault("platformDown", ibisstore.FaultRule{
-			Fault: ibisstore.FaultDown,
+		platformFault("platformDown", ibisrowstore.Faults{
+			Down: ibisrowstore.DownBusy,
 		}),
-		platformFault("platformSlow", ibisstore.FaultRule{
-			Fault: ibisstore.FaultSlow,
+		platformFault("platformSlow", ibisrowstore.Faults{
 			Delay: slowPlatform,
 		}),
-		platformFault("platformLimited", ibisstore.FaultRule{
-			Fault: ibisstore.FaultRateLimit,
-			Rate:  limitedRate,
+		platformFault("platformLimited", ibisrowstore.Faults{
+			CallsPerSecond: limitedRate,
 		}),
-		platformFault("platformLosesAnswers", ibisstore.FaultRule{
-			Fault: ibisstore.FaultLoseAnswer,
+		platformFault("platformLosesAnswers", ibisrowstore.Faults{
+			Lost:  1,
 			Count: lostAnswers,
 		}),
 		serverFault("connectionCutBeforeRun", ibisserver.Faults{
--- a/internal/measure/ibispath/paths.go
+++ b/internal/measure/ibispath/paths.go
@@ -19,7 +19,7 @@
 	"github.com/ibisridge/ibisridge/internal/document/ibissection"
 	"github.com/ibisridge/ibisridge/internal/program/ibisembed"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisserver"
-	"github.com/ibisridge/ibisridge/internal/standin/ibisstore"
+	"github.com/ibisridge/ibisridge/platform"
 )
 
 // Ways are the paths that are measured side by side to the same backend server.
@@ -46,12 +46,15 @@
 // Open starts two nodes with a backend server each, and a reverse proxy in front of the server that owns the sample key.
 func Open(ctx context.Context) (*Ways, error) {
 	token, hash := ibisdoc.NewAccountToken("shop", "counter")
-	store := ibisstore.New()
-	if err := putDocument(ctx, store, hash); err != nil {
+	system, err := ibisembed.New(zap.NewNop())
+	if err != nil {
 		return nil, err
 	}
 	w := &Ways{
-		system: ibisembed.New(store, zap.NewNop()),
+		system: system,
+	}
+	if err := putDocument(ctx, system.Table(), hash); err != nil {
+		return nil, errors.Join(err, w.Close())
 	}
 	if err := w.start(ctx, token); err != nil {
 		return nil, errors.Join(err, w.Close())
@@ -144,7 +147,7 @@
 	}
 }
 
-func putDocument(ctx context.Context, store *ibisstore.Store, hash ibisdoc.TokenHash) error {
+func putDocument(ctx context.Context, store *platform.Table, hash ibisdoc.TokenHash) error {
 	sections := map[string]string{
 		"topology":  `{"regions":{"uusimaa":{"domains":{"helsinki-a":{},"espoo-b":{}}}},"storeRegion":"uusimaa"}`,
 		"teams":     `{}`,
--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -94,7 +94,10 @@
 	case 9:
 		f := s.storeFault()
 		s.note(nil, span, "store: %+v for %s", f, span)
-		s.during(ctx, span, func() { s.server.SetFaults(f) }, func() { s.server.SetFaults(ibisrowstore.Faults{}) })
+		s.during(ctx, span, func() {
+			s.server.Clear()
+			s.server.Inject(f)
+		}, s.server.Clear)
 	case 10:
 		s.note(nil, 0, "store: history is forgotten")
 		s.store.Forget()
@@ -110,7 +113,7 @@
 	switch s.random.IntN(4) {
 	case 0:
 		return ibisrowstore.Faults{
-			DelayMs: 100 + s.random.IntN(400),
+			Delay: time.Duration(100+s.random.IntN(400)) * time.Millisecond,
 		}
 	case 1:
 		return ibisrowstore.Faults{
@@ -119,7 +122,7 @@
 	case 2:
 		return ibisrowstore.Faults{
 			Late:   0.4,
-			LateMs: 500 + s.random.IntN(3000),
+			LateBy: time.Duration(500+s.random.IntN(3000)) * time.Millisecond,
 		}
 	}
 	return ibisrowstore.Faults{
@@ -164,7 +167,7 @@
 
 // heal ends what faults may have left behind.
 func (s *soak) heal() {
-	s.server.SetFaults(ibisrowstore.Faults{})
+	s.server.Clear()
 	for _, n := range s.nodes {
 		n.store.set(modePass)
 		n.peers.set(modePass)
--- a/internal/peer/ibisplatform/table.go
+++ b/internal/peer/ibisplatform/table.go
@@ -8,6 +8,9 @@
 // ErrUnavailable reports that the platform did not answer; a commit that returns it may have taken effect.
 var ErrUnavailable = errors.New("platform unavailable")
 
+// ErrBadCommit reports a commit that no platform accepts: without an id, with two writes of one row, or above its limits.
+var ErrBadCommit = errors.New("bad commit")
+
 // Version orders the writes of one row; it only grows, also over a deletion, and zero means that no row stands.
 type Version uint64
 
--- a/internal/program/ibiscli/devsystem.go
+++ b/internal/program/ibiscli/devsystem.go
@@ -10,7 +10,6 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/program/ibisembed"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisserver"
-	"github.com/ibisridge/ibisridge/internal/standin/ibisstore"
 )
 
 // devSystem is a running deployment.
@@ -25,14 +24,17 @@
 	if err != nil {
 		return nil, err
 	}
-	store := ibisstore.New()
-	if err := putFirstDocument(ctx, store, sections); err != nil {
+	system, err := ibisembed.New(log)
+	if err != nil {
 		return nil, err
 	}
 	s := &devSystem{
-		System:     ibisembed.New(store, log),
+		System:     system,
 		deployment: d,
 	}
+	if err := putFirstDocument(ctx, system.Table(), sections); err != nil {
+		return s, err
+	}
 	for _, p := range d.pairs {
 		_, err := s.Start(ibisembed.PairConfig{
 			Name:  p.name,
--- a/internal/program/ibiscli/docinit.go
+++ b/internal/program/ibiscli/docinit.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/document/ibisdoc"
-	"github.com/ibisridge/ibisridge/internal/peer/ibisplatform"
+	"github.com/ibisridge/ibisridge/platform"
 )
 
 type docInitCommand struct {
@@ -36,7 +35,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	if err := putFirstDocument(ctx, ibisplatform.NewClient(c.Platform, &http.Client{}), sections); err != nil {
+	if err := putFirstDocument(ctx, platform.NewTable(c.Platform, c.Timeout), sections); err != nil {
 		return err
 	}
 	_, _ = fmt.Fprintf(t.Out, "%s: %d sections\n", green(t, "put"), len(sections))
--- a/internal/program/ibiscli/node.go
+++ b/internal/program/ibiscli/node.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/node/ibislog"
 	"github.com/ibisridge/ibisridge/internal/node/ibisnode"
 	"github.com/ibisridge/ibisridge/internal/node/ibissettings"
-	"github.com/ibisridge/ibisridge/internal/peer/ibisplatform"
+	"github.com/ibisridge/ibisridge/platform"
 )
 
 type nodeCommand struct {
@@ -57,10 +56,8 @@
 	if err != nil {
 		return usageError("%w", err)
 	}
-	platform := ibisplatform.NewClient(settings.Platform, &http.Client{
-		Timeout: settings.Limits.PlatformTimeout.Duration,
-	})
-	node, err := ibisnode.New(settings, platform, platform, ibistimer.New(), log)
+	store := platform.NewTable(settings.Platform, settings.Limits.PlatformTimeout.Duration)
+	node, err := ibisnode.New(settings, store, store, ibistimer.New(), log)
 	if err != nil {
 		return err
 	}
--- a/internal/program/ibiscli/standin.go
+++ b/internal/program/ibiscli/standin.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"github.com/ibisridge/ibisridge/internal/standin/ibisstore"
+	"github.com/ibisridge/ibisridge/internal/standin/ibisrowstore"
 )
 
 const (
@@ -19,21 +19,22 @@
 
 type standinCommand struct {
 	Listen   string `arg:"--listen" default:"127.0.0.1:9000" placeholder:"IP:PORT" help:"address to listen on"`
+	Seed     uint64 `arg:"--seed" default:"1" help:"draws which calls shares of faults hit"`
 	Snapshot string `arg:"--snapshot" placeholder:"FILE" help:"file to load at the start and to save at the end"`
 }
 
 // Description returns what the command is for, for its help.
 func (standinCommand) Description() string {
-	return "Stands in for the platform's table and object store; faults are switched at /standin/faults."
+	return "Stands in for the platform's metadata store, rows and objects; faults are switched at /standin/faults."
 }
 
 func (*standinCommand) examples() string {
 	return `  ibisridge standin
   ibisridge standin --listen 127.0.0.1:9000 --snapshot store.json
-  curl -d '{"fault":"down"}' http://127.0.0.1:9000/standin/faults
-  curl -d '{"fault":"slow","delay":"200ms","count":10}' http://127.0.0.1:9000/standin/faults
-  curl -d '{"fault":"rateLimit","rate":100}' http://127.0.0.1:9000/standin/faults
-  curl -d '{"fault":"loseAnswer","count":1}' http://127.0.0.1:9000/standin/faults
+  curl -d '{"down":"silent"}' http://127.0.0.1:9000/standin/faults
+  curl -d '{"delay":"200ms","count":10}' http://127.0.0.1:9000/standin/faults
+  curl -d '{"callsPerSecond":100}' http://127.0.0.1:9000/standin/faults
+  curl -d '{"lost":1,"count":1}' http://127.0.0.1:9000/standin/faults
   curl -X DELETE http://127.0.0.1:9000/standin/faults`
 }
 
@@ -50,7 +51,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	_, _ = fmt.Fprintf(t.Out, "platform stand-in on http://%s\n", listener.Addr())
-	if err := serveUntil(ctx, listener, store.Handler()); err != nil {
+	if err := serveUntil(ctx, listener, ibisrowstore.NewServer(store, c.Seed)); err != nil {
 		return err
 	}
 	if c.Snapshot == "" {
@@ -59,13 +60,13 @@
 	return store.Save(c.Snapshot)
 }
 
-func (c *standinCommand) load() (*ibisstore.Store, error) {
+func (c *standinCommand) load() (*ibisrowstore.Store, error) {
 	if c.Snapshot == "" {
-		return ibisstore.New(), nil
+		return ibisrowstore.New(), nil
 	}
-	store, err := ibisstore.Load(c.Snapshot)
+	store, err := ibisrowstore.Load(c.Snapshot)
 	if errors.Is(err, fs.ErrNotExist) {
-		return ibisstore.New(), nil
+		return ibisrowstore.New(), nil
 	}
 	return store, err
 }
--- a/internal/program/ibisembed/home_test.go
+++ b/internal/program/ibisembed/home_test.go
@@ -25,7 +25,7 @@
 	"github.com/ibisridge/ibisridge/internal/node/ibissettings"
 	"github.com/ibisridge/ibisridge/internal/program/ibisembed"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisserver"
-	"github.com/ibisridge/ibisridge/internal/standin/ibisstore"
+	"github.com/ibisridge/ibisridge/platform"
 )
 
 func TestEmbed(t *testing.T) {
@@ -108,13 +108,13 @@
 var _ = Describe("A tenant with home regions", func() {
 	It("leaves no trace of its keys outside them", func(ctx SpecContext) {
 		token, hash := ibisdoc.NewAccountToken("ward", "clerk")
-		store := ibisstore.New()
-		outcome := ibissection.New(store, store, ibistimer.New()).Init(ctx, "first", homeSections(hash))
-		Expect(outcome.Status).To(Equal(ibissection.StatusApplied), "%s %v", outcome.Reason, outcome.Faults)
 		wire, logs := &recorder{}, &recorder{}
 		log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), logs, zap.DebugLevel))
-		system := ibisembed.New(store, log)
+		system, err := ibisembed.New(log)
+		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(system.Close)
+		outcome := ibissection.New(system.Table(), system.Table(), ibistimer.New()).Init(ctx, "first", homeSections(hash))
+		Expect(outcome.Status).To(Equal(ibissection.StatusApplied), "%s %v", outcome.Reason, outcome.Faults)
 		pairs := map[ibisid.NodeName]*ibisembed.Pair{}
 		for _, name := range []ibisid.NodeName{"floor-r1", "desk-r1", "floor-r2", "desk-r2"} {
 			service, region, _ := strings.Cut(string(name), "-")
@@ -164,14 +164,14 @@
 		Expect(runs).To(BeZero())
 		Expect(refusedUnread(pairs["floor-r1"].Node.CallerAddress(), token)).To(HavePrefix("HTTP/1.1 421"))
 
-		places := map[string]string{"bytes between nodes": wire.text(), "rows and objects": stored(ctx, store)}
+		places := map[string]string{"bytes between nodes": wire.text(), "rows and objects": stored(ctx, system.Table())}
 		for name, pair := range pairs {
 			places["metrics of "+string(name)] = fetch(ctx, "http://"+pair.Node.OperatorAddress()+"/metrics")
 		}
 		Expect(pairs["floor-r2"].Stop()).To(Succeed())
 		Expect(pairs["desk-r2"].Stop()).To(Succeed())
 		places["bytes between nodes, planned stop included"] = wire.text()
-		places["rows and objects after a planned stop"] = stored(ctx, store)
+		places["rows and objects after a planned stop"] = stored(ctx, system.Table())
 		places["logs"] = logs.text()
 		for place, text := range places {
 			Expect(text).NotTo(BeEmpty(), place)
@@ -207,7 +207,7 @@
 }
 
 // stored returns every row and object of the platform as text.
-func stored(ctx context.Context, store *ibisstore.Store) string {
+func stored(ctx context.Context, store *platform.Table) string {
 	var out strings.Builder
 	rows, err := store.Scan(ctx, "")
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/program/ibisembed/system.go
+++ b/internal/program/ibisembed/system.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,14 +15,18 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/node/ibisnode"
 	"github.com/ibisridge/ibisridge/internal/node/ibissettings"
+	"github.com/ibisridge/ibisridge/internal/standin/ibisrowstore"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisserver"
-	"github.com/ibisridge/ibisridge/internal/standin/ibisstore"
+	"github.com/ibisridge/ibisridge/platform"
 )
 
 const (
 	anyPort       = "127.0.0.1:0"
 	readyPoll     = 20 * time.Millisecond
 	serverTimeout = 5 * time.Second
+	headerTimeout = 5 * time.Second
+	// faultSeed draws which calls to the store shares of faults hit.
+	faultSeed = 1
 )
 
 // Pair is a node and the backend server beside it.
@@ -64,7 +70,9 @@
 
 // System is a running small system.
 type System struct {
-	store *ibisstore.Store
+	store *ibisrowstore.Server
+	http  *http.Server
+	table *platform.Table
 	log   *zap.Logger
 	group *errgroup.Group
 	ctx   context.Context
@@ -72,21 +80,41 @@
 	pairs []*Pair
 }
 
-// New returns a system without nodes around a platform stand-in.
-func New(store *ibisstore.Store, log *zap.Logger) *System {
+// New returns a system without nodes around a stand-in of the platform's store; it fails where no port can be taken.
+func New(log *zap.Logger) (*System, error) {
+	listener, err := net.Listen("tcp4", anyPort)
+	if err != nil {
+		return nil, fmt.Errorf("stand-in of the store: %w", err)
+	}
 	ctx, end := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
-	return &System{
+	store := ibisrowstore.NewServer(ibisrowstore.New(), faultSeed)
+	s := &System{
 		store: store,
+		http: &http.Server{
+			Handler:           store,
+			ReadHeaderTimeout: headerTimeout,
+		},
+		table: platform.NewTable("http://"+listener.Addr().String(), ibissettings.Default().Limits.PlatformTimeout.Duration),
 		log:   log,
 		group: group,
 		ctx:   ctx,
 		end:   end,
 	}
+	group.Go(func() error {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("stand-in of the store: %w", err)
+		}
+		return nil
+	})
+	return s, nil
 }
 
-// Store returns the platform stand-in.
-func (s *System) Store() *ibisstore.Store { return s.store }
+// Store returns the stand-in of the platform's store, to switch its faults.
+func (s *System) Store() *ibisrowstore.Server { return s.store }
+
+// Table returns the table and objects that the nodes use.
+func (s *System) Table() *platform.Table { return s.table }
 
 // Pairs returns the pairs in the order in which they were started.
 func (s *System) Pairs() []*Pair { return s.pairs }
@@ -106,7 +134,7 @@
 	if config.Change != nil {
 		config.Change(&settings)
 	}
-	node, err := ibisnode.New(settings, s.store, s.store, ibistimer.New(), s.log)
+	node, err := ibisnode.New(settings, s.table, s.table, ibistimer.New(), s.log)
 	if err != nil {
 		return nil, fmt.Errorf("node %s: %w", config.Name, err)
 	}
@@ -169,9 +197,12 @@
 // Close stops every node and then every backend server.
 func (s *System) Close() error {
 	s.end()
-	err := s.group.Wait()
+	for _, p := range s.pairs {
+		<-p.done
+	}
+	err := s.http.Close()
 	for _, p := range s.pairs {
 		_ = p.Server.Kill()
 	}
-	return err
+	return errors.Join(s.group.Wait(), err)
 }
--- a/internal/relay/ibisfollow/follow_test.go
+++ b/internal/relay/ibisfollow/follow_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -65,7 +64,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		v := &view{}
-		f := ibisfollow.New(platform.NewStoreClient(strings.TrimPrefix(listening.URL, "http://")), ibisfollow.Options{
+		f := ibisfollow.New(platform.NewStoreClient(listening.URL, 0), ibisfollow.Options{
 			Table:   "op",
 			Wait:    5 * time.Second,
 			Parts:   func() []string { return []string{""} },
@@ -82,10 +81,10 @@
 		store.Forget()
 		store.Put("op", "", "d", []byte("1"))
 		Eventually(v.all, "3s").Should(Equal(map[string]string{"b": "1", "c": "1", "d": "1"}))
-		server.SetFaults(ibisrowstore.Faults{Down: ibisrowstore.DownBusy})
+		server.Inject(ibisrowstore.Faults{Down: ibisrowstore.DownBusy})
 		store.Put("op", "", "b", []byte("2"))
 		store.Put("op", "", "b", []byte("3"))
-		server.SetFaults(ibisrowstore.Faults{})
+		server.Clear()
 		Eventually(v.all, "3s").Should(HaveKeyWithValue("b", "3"))
 		f.Reread()
 		Eventually(func() int { v.mu.Lock(); defer v.mu.Unlock(); return v.wholes }, "3s").Should(BeNumerically(">=", 2))
@@ -94,7 +93,7 @@
 	It("ends with its context", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
-		f := ibisfollow.New(platform.NewStoreClient("127.0.0.1:1"), ibisfollow.Options{
+		f := ibisfollow.New(platform.NewStoreClient("http://127.0.0.1:1", 0), ibisfollow.Options{
 			Parts:   func() []string { return []string{""} },
 			Apply:   func([]ibisstore.Row, bool, uint64) {},
 			Reached: func(bool, error) {},
--- a/internal/relay/ibisorder/answer.go
+++ b/internal/relay/ibisorder/answer.go
@@ -40,6 +40,8 @@
 	ReasonStopping Reason = "stopping"
 	// ReasonTooLong means that the body is longer than the configuration allows.
 	ReasonTooLong Reason = "tooLong"
+	// ReasonHeaderTooLong means that the headers are longer than the configuration allows.
+	ReasonHeaderTooLong Reason = "headerTooLong"
 	// ReasonNoRoute means that no route matches.
 	ReasonNoRoute Reason = "noRoute"
 	// ReasonNoConfig means that no configuration is known yet.
--- a/internal/scenario/ibisscenario/platform.go
+++ b/internal/scenario/ibisscenario/platform.go
@@ -15,10 +15,11 @@
 const platformUsage = "platform start|stop|down [N]|slow SPAN [N]|limit RATE|lose N|up"
 
 type faultBody struct {
-	Fault string  `json:"fault"`
-	Count int     `json:"count,omitempty"`
-	Delay string  `json:"delay,omitempty"`
-	Rate  float64 `json:"rate,omitempty"`
+	Down           string  `json:"down,omitempty"`
+	Delay          string  `json:"delay,omitempty"`
+	CallsPerSecond float64 `json:"callsPerSecond,omitempty"`
+	Lost           float64 `json:"lost,omitempty"`
+	Count          int     `json:"count,omitempty"`
 }
 
 // platformCommand starts and stops the platform stand-in, which keeps its content meanwhile, and switches its faults.
@@ -52,18 +53,16 @@
 	var fault faultBody
 	switch {
 	case verb == "down":
-		fault.Fault = "down"
+		fault.Down = "busy"
 	case verb == "slow" && len(rest) > 0:
-		fault.Fault = "slow"
 		fault.Delay = rest[0]
 		rest = rest[1:]
 	case verb == "limit" && len(rest) == 1:
-		fault.Fault = "rateLimit"
 		rate, err := strconv.ParseFloat(rest[0], 64)
-		fault.Rate = rate
+		fault.CallsPerSecond = rate
 		return fault, err
 	case verb == "lose" && len(rest) == 1:
-		fault.Fault = "loseAnswer"
+		fault.Lost = 1
 	default:
 		return fault, errors.New("usage: " + platformUsage)
 	}
--- a/internal/standin/ibisrowstore/fault.go
+++ b/internal/standin/ibisrowstore/fault.go
@@ -1,9 +1,13 @@
 package ibisrowstore
 
 import (
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Down says how the store does not answer.
@@ -24,34 +28,111 @@
 
 // Faults is what the store does wrong.
 type Faults struct {
-	// Delay is added to every answer, in milliseconds.
-	DelayMs int `json:"delayMs"`
+	// Delay is added to every answer.
+	Delay time.Duration
 	// Down says how the store does not answer.
-	Down Down `json:"down"`
-	// Lost is the share of transactions that are applied and not answered.
-	Lost float64 `json:"lost"`
-	// Late is the share of transactions that get no answer and are applied LateMs later, if their conditions still hold.
-	Late float64 `json:"late"`
-	// LateMs is how much later.
-	LateMs int `json:"lateMs"`
-	// WritesPerSecond is the number of transactions a second above which calls get 429; zero for no bound.
-	WritesPerSecond int `json:"writesPerSecond"`
+	Down Down
+	// Lost is the share of transactions and object writes that are applied and not answered.
+	Lost float64
+	// Late is the share of transactions that get no answer and are applied LateBy later, if their conditions still hold.
+	Late float64
+	// LateBy is how much later.
+	LateBy time.Duration
+	// CallsPerSecond is the number of calls a second above which calls get 429; zero for no bound.
+	CallsPerSecond float64
+	// Count is the number of calls that are hit; zero means until the faults are cleared.
+	Count int
+}
+
+// validate names every field that can't be used.
+func (f Faults) validate() error {
+	var faults []error
+	share := func(name string, value float64) {
+		if value < 0 || value > 1 {
+			faults = append(faults, fmt.Errorf("%s %v: must be a share from 0 to 1", name, value))
+		}
+	}
+	switch f.Down {
+	case DownNot, DownSilent, DownReset, DownBusy, DownMany:
+	default:
+		faults = append(faults, fmt.Errorf("down %q: must be silent, reset, busy or many", f.Down))
+	}
+	share("lost", f.Lost)
+	share("late", f.Late)
+	if f.Delay < 0 || f.LateBy < 0 {
+		faults = append(faults, errors.New("delay, lateBy: must not be negative"))
+	}
+	if f.Late > 0 && f.LateBy == 0 {
+		faults = append(faults, errors.New("lateBy: must be above zero where late is"))
+	}
+	if f.CallsPerSecond != 0 && f.CallsPerSecond < 1 {
+		faults = append(faults, fmt.Errorf("callsPerSecond %v: must be 1 or more", f.CallsPerSecond))
+	}
+	if f.Count < 0 {
+		faults = append(faults, fmt.Errorf("count %d: must not be negative", f.Count))
+	}
+	if f == (Faults{Count: f.Count}) {
+		faults = append(faults, errors.New("one of delay, down, lost, late, callsPerSecond must be given"))
+	}
+	return errors.Join(faults...)
+}
+
+// Counts is the number of calls that a server has had.
+type Counts struct {
+	// Reads counts reads of rows, feeds, partitions and objects.
+	Reads uint64 `json:"reads"`
+	// Writes counts transactions and writes of objects.
+	Writes uint64 `json:"writes"`
+	// Faults counts calls that a fault hit.
+	Faults uint64 `json:"faults"`
+}
+
+// rule is a set of faults in force.
+type rule struct {
+	Faults
+	pace *rate.Limiter
 }
 
 // faults holds the faults in force and counts calls.
 type faults struct {
 	mu     sync.Mutex
-	now    Faults
+	rules  []rule
 	random *rand.Rand
-	second int64
-	writes int
-	calls  uint64
+	counts Counts
+}
+
+func (f *faults) add(n Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := rule{
+		Faults: n,
+	}
+	if n.CallsPerSecond > 0 {
+		r.pace = rate.NewLimiter(rate.Limit(n.CallsPerSecond), int(n.CallsPerSecond))
+	}
+	f.rules = append(f.rules, r)
+}
+
+func (f *faults) clear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rules = nil
+}
+
+func (f *faults) list() []Faults {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]Faults, 0, len(f.rules))
+	for _, r := range f.rules {
+		out = append(out, r.Faults)
+	}
+	return out
 }
 
-func (f *faults) set(n Faults) {
+func (f *faults) total() Counts {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.now = n
+	return f.counts
 }
 
 // fate is what happens to one call.
@@ -62,29 +143,50 @@
 	late  time.Duration
 }
 
-// draw decides on one call.
-func (f *faults) draw(write bool) fate {
+// draw decides on one call; only a transaction may be applied late.
+func (f *faults) draw(write, transaction bool) fate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.calls++
-	out := fate{
-		delay: time.Duration(f.now.DelayMs) * time.Millisecond,
-		down:  f.now.Down,
+	if write {
+		f.counts.Writes++
+	} else {
+		f.counts.Reads++
 	}
-	if !write || out.down != DownNot {
-		return out
+	var out fate
+	hit := false
+	kept := f.rules[:0]
+	for _, r := range f.rules {
+		if f.apply(r, write, transaction, &out) {
+			hit = true
+			if r.Count == 1 {
+				continue
+			}
+			r.Count = max(0, r.Count-1)
+		}
+		kept = append(kept, r)
 	}
-	if second := time.Now().Unix(); second != f.second {
-		f.second, f.writes = second, 0
+	f.rules = kept
+	if hit {
+		f.counts.Faults++
 	}
-	f.writes++
-	if f.now.WritesPerSecond > 0 && f.writes > f.now.WritesPerSecond {
+	return out
+}
+
+// apply adds what a rule does to a call and reports whether it does anything.
+func (f *faults) apply(r rule, write, transaction bool, out *fate) bool {
+	before := *out
+	out.delay = max(out.delay, r.Delay)
+	if r.Down != DownNot {
+		out.down = r.Down
+	}
+	if r.pace != nil && !r.pace.Allow() {
 		out.down = DownMany
-		return out
 	}
-	out.lost = f.random.Float64() < f.now.Lost
-	if !out.lost && f.random.Float64() < f.now.Late {
-		out.late = time.Duration(f.now.LateMs) * time.Millisecond
+	if write && f.random.Float64() < r.Lost {
+		out.lost = true
 	}
-	return out
+	if transaction && !out.lost && f.random.Float64() < r.Late {
+		out.late = r.LateBy
+	}
+	return *out != before
 }
--- a/internal/standin/ibisrowstore/handler.go
+++ b/internal/standin/ibisrowstore/handler.go
@@ -17,6 +17,8 @@
 	maxBody     = 1 << 20
 	maxObject   = 8 << 20
 	longestWait = 30 * time.Second
+
+	pathTransaction = "/-/rows-tx"
 )
 
 // Server answers the store's calls over HTTP and does wrong what it was told to.
@@ -35,7 +37,7 @@
 		},
 		mux: http.NewServeMux(),
 	}
-	s.mux.HandleFunc("POST /-/rows-tx", s.rowsTx)
+	s.mux.HandleFunc("POST "+pathTransaction, s.rowsTx)
 	s.mux.HandleFunc("GET /-/rows-get", s.rowsGet)
 	s.mux.HandleFunc("GET /-/rows-parts", s.rowsParts)
 	s.mux.HandleFunc("GET /-/rows-feed", s.rowsFeed)
@@ -43,22 +45,27 @@
 	s.mux.HandleFunc("GET /-/blob-get/{id...}", s.blobGet)
 	s.mux.HandleFunc("DELETE /-/blob-drop/{id...}", s.blobDrop)
 	s.mux.HandleFunc("GET /-/blob-list", s.blobList)
+	s.switches(s.mux)
 	return s
 }
 
-// SetFaults replaces the faults.
-func (s *Server) SetFaults(f Faults) { s.faults.set(f) }
+// Inject adds faults to those in force.
+func (s *Server) Inject(f Faults) { s.faults.add(f) }
 
-// Calls returns the number of calls that arrived.
-func (s *Server) Calls() uint64 {
-	s.faults.mu.Lock()
-	defer s.faults.mu.Unlock()
-	return s.faults.calls
-}
+// Clear ends every fault.
+func (s *Server) Clear() { s.faults.clear() }
+
+// Counts returns the number of calls that arrived.
+func (s *Server) Counts() Counts { return s.faults.total() }
 
 // ServeHTTP answers a call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f := s.faults.draw(r.URL.Path == "/-/rows-tx")
+	if r.URL.Path == pathFaults || r.URL.Path == pathCounts {
+		s.mux.ServeHTTP(w, r)
+		return
+	}
+	commits := r.URL.Path == pathTransaction
+	f := s.faults.draw(commits || r.Method == http.MethodPut || r.Method == http.MethodDelete, commits)
 	if f.delay > 0 {
 		wait(r.Context(), f.delay)
 	}
--- a/internal/standin/ibisstore/snapshot.go
+++ b/internal/standin/ibisrowstore/snapshot.go
@@ -1,20 +1,20 @@
-package ibisstore
+package ibisrowstore
 
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
-
-	"github.com/ibisridge/ibisridge/internal/peer/ibisplatform"
 )
 
+// snapshot is a store as a file holds it; the history is not kept, so feeds from before a restart get "history lost".
 type snapshot struct {
-	Sequence ibisplatform.Version `json:"sequence"`
-	Rows     []ibisplatform.Row   `json:"rows"`
-	Objects  map[string][]byte    `json:"objects"`
+	Version uint64            `json:"version"`
+	Rows    []row             `json:"rows"`
+	Objects map[string][]byte `json:"objects"`
 }
 
 // Save writes the rows and objects to a file, in place of what it held; it fails where the file can't be written.
@@ -39,7 +39,7 @@
 }
 
 // Load returns a store with the rows and objects of a snapshot file; it fails where the file is missing or malformed.
-func Load(file string, options ...Option) (*Store, error) {
+func Load(file string) (*Store, error) {
 	body, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
@@ -48,30 +48,21 @@
 	if err := json.Unmarshal(body, &saved); err != nil {
 		return nil, fmt.Errorf("snapshot %s: %w", file, err)
 	}
-	s := New(options...)
-	s.sequence = saved.Sequence
-	for _, row := range saved.Rows {
-		s.rows[row.Key] = row
-	}
-	for name, object := range saved.Objects {
-		s.objects[name] = object
+	s := New()
+	s.version, s.forgotten = saved.Version, saved.Version
+	for _, r := range saved.Rows {
+		s.rows[r.rowKey] = r
 	}
+	maps.Copy(s.objects, saved.Objects)
 	return s, nil
 }
 
 func (s *Store) snapshot() snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	saved := snapshot{
-		Sequence: s.sequence,
-		Objects:  make(map[string][]byte, len(s.objects)),
-	}
-	for _, row := range s.rows {
-		saved.Rows = append(saved.Rows, row)
-	}
-	slices.SortFunc(saved.Rows, func(a, b ibisplatform.Row) int { return strings.Compare(a.Key, b.Key) })
-	for name, object := range s.objects {
-		saved.Objects[name] = object
+	return snapshot{
+		Version: s.version,
+		Rows:    slices.SortedFunc(maps.Values(s.rows), func(a, b row) int { return strings.Compare(a.Key, b.Key) }),
+		Objects: maps.Clone(s.objects),
 	}
-	return saved
 }
