What follows each try of a request is decided by a pure core

Cause: the decisions on retries, refusals and times to come back stood inside the front's calls, where no model could drive them, and what callers of a class wait was remembered for ever, also after its route was gone. Change: ibispursue decides (request, end of a try, budget -> step); the front carries it out and forgets classes with their routes. Same behaviour otherwise; the front's own tests stand as they were, and the core has a table of its own.

--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -15,6 +15,7 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibiskeep"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+	"github.com/ibisridge/ibisridge/internal/relay/ibispursue"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
 	"github.com/ibisridge/ibisridge/internal/request/ibischoose"
@@ -26,18 +27,8 @@
 	// bufferedAnswer is the greatest answer that is read whole before its first byte goes out: if it breaks off it can be
 	// asked for again.
 	bufferedAnswer = 16 << 10
-	// maxTries bounds how many nodes are asked for one request; each refusal costs a round trip.
-	maxTries = 4
-	// defaultRetry is when to come back where no gate said so.
-	defaultRetry = 300 * time.Millisecond
-	// retrySpread is the share by which times to come back are spread, so that callers don't return together.
-	retrySpread = 0.3
 	// ordinaryEvery is how many ordinary requests share one log line, so that lines take at most 3% of a node's time.
 	ordinaryEvery = 10
-	retryFloor    = 60 * time.Millisecond
-	// refusalShare of a target may pass before another gate is asked after one was full: with a round trip between
-	// regions on top, a refusal is still out within an eighth of usual targets.
-	refusalShare = 16
 )
 
 // Peers sends an order to a node, the own one included.
@@ -77,12 +68,11 @@
 	pages    map[ibisid.ServiceName]pageView
 	choosers map[ibisid.ServiceName]*ibischoose.Chooser
 	splitter *ibisroute.Splitter
-	retries  budget
+	retries  *ibispursue.Budget
+	ages     *ibispursue.Ages
 	random   *rand.Rand
 	nextID   ibischoose.RequestID
 	down     ibisset.Set[ibisid.NodeName]
-	// longest is the longest that callers of each class were seen to wait, which is what they wait on their first attempt.
-	longest map[ibisid.ClassName]time.Duration
 }
 
 // pageView is a page with the version of its row.
@@ -104,11 +94,9 @@
 		choosers: make(map[ibisid.ServiceName]*ibischoose.Chooser),
 		splitter: ibisroute.NewSplitter(),
 		random:   random,
-		retries: budget{
-			tokens: retryBurst,
-		},
-		down:    make(ibisset.Set[ibisid.NodeName]),
-		longest: make(map[ibisid.ClassName]time.Duration),
+		retries:  ibispursue.NewBudget(),
+		ages:     ibispursue.NewAges(),
+		down:     make(ibisset.Set[ibisid.NodeName]),
 	}
 }
 
@@ -127,6 +115,11 @@
 		return false
 	}
 	f.config = config
+	classes := make(ibisset.Set[ibisid.ClassName])
+	for _, route := range config.Routes() {
+		classes.Add(route.Name)
+	}
+	f.ages.Keep(classes)
 	f.refresh()
 	return true
 }
--- a/internal/relay/ibisfront/plan.go
+++ b/internal/relay/ibisfront/plan.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
-	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
 )
 
 var errTooLong = errors.New("body is longer than the configuration allows")
@@ -52,8 +51,8 @@
 	if target <= 0 {
 		target = span
 	}
-	f.retries.earn()
-	age := f.ageOf(route, r.Patience)
+	f.retries.Earn()
+	age := f.ages.Of(route.Name, r.Patience)
 	return plan{
 		route:    route,
 		config:   f.config,
@@ -64,15 +63,3 @@
 		age:      age,
 	}, ibisorder.Answer{}, true
 }
-
-// ageOf returns for how long a caller has been trying already: what it waits now falls short of what callers of the class
-// wait on their first attempt. Its target counts from then; f.mu is held.
-func (f *Front) ageOf(route *ibisroute.Route, patience time.Duration) time.Duration {
-	if patience <= 0 {
-		return 0
-	}
-	if patience > f.longest[route.Name] {
-		f.longest[route.Name] = patience
-	}
-	return f.longest[route.Name] - patience
-}
--- a/internal/relay/ibisfront/pursue.go
+++ b/internal/relay/ibisfront/pursue.go
@@ -7,6 +7,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+	"github.com/ibisridge/ibisridge/internal/relay/ibispursue"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 	"github.com/ibisridge/ibisridge/internal/request/ibischoose"
@@ -17,16 +18,15 @@
 	var asked []ibisid.NodeName
 	var tries []try
 	var last ibisorder.Answer
-	arrivals := 0
-	mayHaveRun := false
+	pursuit := p.pursuit(order)
 	hint := ibisid.NodeName("")
-	for n := range maxTries {
-		if n == 0 && order.Key != ibisorder.NoKey {
+	for step := ibispursue.StepAgain; step == ibispursue.StepAgain; {
+		if len(tries) == 0 && order.Key != ibisorder.NoKey {
 			order.PageVersion = f.pageVersion(p.service.Name)
 		}
 		member, refusal, ok := f.choose(p, order, asked, hint)
 		if !ok {
-			if n == 0 {
+			if len(tries) == 0 {
 				return refusal, nil
 			}
 			break
@@ -39,62 +39,38 @@
 			outcome: last.Outcome,
 			took:    f.clock.Now().Sub(began),
 		})
-		if last.Arrived {
-			arrivals++
-		}
-		if last.Outcome == ibisid.OutcomeDone {
-			return last, tries
-		}
-		mayHaveRun = mayHaveRun || last.Outcome == ibisid.OutcomeUnknown
 		hint = last.Owner
 		if hint != "" {
 			order.PageVersion = last.PageVersion
 		}
 		asked = append(asked, member.Node)
-		if order.Key != ibisorder.NoKey && hint == "" {
-			break
-		}
-		if !f.mayTryAgain(ctx, p, order, last, arrivals) {
-			break
-		}
-	}
-	if last.Outcome == ibisid.OutcomeNotRun && mayHaveRun {
-		// The last try was refused, an earlier one may have run: "not run" would not be true of the request.
-		last.Outcome = ibisid.OutcomeUnknown
+		step = f.after(ctx, pursuit, last)
 	}
+	last.Outcome = pursuit.Final(last.Outcome)
 	if last.Outcome == ibisid.OutcomeNotRun {
-		f.mu.Lock()
-		last.RetryAfter = f.spread(max(last.RetryAfter, defaultRetry))
-		f.mu.Unlock()
+		last.RetryAfter = f.comeBack(max(last.RetryAfter, ibispursue.DefaultReturn))
 	}
 	return last, tries
 }
 
-// pageVersion returns the version of a service's page.
-func (f *Front) pageVersion(service ibisid.ServiceName) uint64 {
+// after takes the end of a try in and returns what follows.
+func (f *Front) after(ctx context.Context, pursuit *ibispursue.Pursuit, last ibisorder.Answer) ibispursue.Step {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.pages[service].version
+	return pursuit.After(ibispursue.Try{
+		Outcome:    last.Outcome,
+		Arrived:    last.Arrived,
+		Full:       forLoad(last.Reason),
+		Redirected: last.Owner != "",
+		Gone:       ctx.Err() != nil,
+	}, f.retries, f.clock.Now())
 }
 
-// mayTryAgain reports whether a request may be sent again elsewhere.
-func (f *Front) mayTryAgain(ctx context.Context, p plan, order ibisorder.Order, last ibisorder.Answer, arrivals int) bool {
-	switch {
-	case ctx.Err() != nil || !order.Resendable():
-		return false
-	case p.deadline.Sub(f.clock.Now()) < retryFloor:
-		return false
-	case last.Outcome == ibisid.OutcomeNotRun && !last.Arrived:
-		// Where gates are full elsewhere will be too: the caller hears so while that is no loss yet.
-		return !forLoad(last.Reason) || f.clock.Now().Sub(p.arrived) < p.route.Target/refusalShare
-	case last.Outcome == ibisid.OutcomeUnknown && !order.Repeatable:
-		return false
-	case arrivals >= p.route.MaxAttempts:
-		return false
-	}
+// pageVersion returns the version of a service's page.
+func (f *Front) pageVersion(service ibisid.ServiceName) uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.retries.spend()
+	return f.pages[service].version
 }
 
 // forLoad reports whether a gate refused because of the load on it.
@@ -106,11 +82,16 @@
 	return false
 }
 
-// spread lengthens a time to come back by a random share; f.mu is held.
-func (f *Front) spread(d time.Duration) time.Duration {
-	return d + time.Duration(f.random.Float64()*retrySpread*float64(d))
+// comeBack spreads a time to come back.
+func (f *Front) comeBack(after time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.spread(after)
 }
 
+// spread lengthens a time to come back by a random share; f.mu is held.
+func (f *Front) spread(after time.Duration) time.Duration { return ibispursue.Return(after, f.random) }
+
 // choose picks the node for an order's next try.
 func (f *Front) choose(p plan, order ibisorder.Order, asked []ibisid.NodeName, hint ibisid.NodeName) (ibisroster.Member, ibisorder.Answer, bool) {
 	f.mu.Lock()
@@ -128,7 +109,7 @@
 		if choice.Refusal == ibischoose.RefusalHome {
 			reason = ibisorder.ReasonNoServer
 		}
-		return ibisroster.Member{}, ibisorder.NotRun(reason, f.spread(max(choice.RetryAfter, defaultRetry)), nil), false
+		return ibisroster.Member{}, ibisorder.NotRun(reason, f.spread(max(choice.RetryAfter, ibispursue.DefaultReturn)), nil), false
 	}
 	member, _ := f.roster.Member(choice.Node)
 	return member, ibisorder.Answer{}, true
@@ -149,7 +130,7 @@
 	case !ok || f.down.Has(node):
 		return member, ibisorder.NotRun(ibisorder.ReasonUnreachable, f.spread(time.Second), nil), false
 	case f.out.Has(member.Place.Domain), slices.Contains(asked, node):
-		return member, ibisorder.NotRun(ibisorder.ReasonKeyMoving, f.spread(defaultRetry), nil), false
+		return member, ibisorder.NotRun(ibisorder.ReasonKeyMoving, f.spread(ibispursue.DefaultReturn), nil), false
 	case len(p.route.Homes) > 0 && !slices.Contains(p.route.Homes, member.Place.Region):
 		return member, ibisorder.NotRun(ibisorder.ReasonNoServer, f.spread(time.Second), nil), false
 	}
--- a/internal/relay/ibisfront/request.go
+++ b/internal/relay/ibisfront/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+	"github.com/ibisridge/ibisridge/internal/relay/ibispursue"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
 )
 
@@ -38,28 +39,6 @@
 	Arrived time.Time
 }
 
-// budget bounds how often requests are sent to a second backend server: a share of the requests, and a few at once.
-type budget struct {
-	tokens float64
-}
-
-const (
-	// retryShare is half of the share that the rules allow all nodes together, since callers' retries raise the load as well.
-	retryShare = 0.1
-	// retryBurst is the most that one node may send at once; the rules allow all nodes together 62 in ten seconds.
-	retryBurst = 3
-)
-
-func (b *budget) earn() { b.tokens = min(retryBurst, b.tokens+retryShare) }
-
-func (b *budget) spend() bool {
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
-
 // plan is what is known of a request before it is sent: its route, service and times.
 type plan struct {
 	route    *ibisroute.Route
@@ -72,6 +51,19 @@
 	age time.Duration
 }
 
+// pursuit begins the pursuit of the plan's order.
+func (p plan) pursuit(order ibisorder.Order) *ibispursue.Pursuit {
+	return ibispursue.New(ibispursue.Request{
+		Arrived:     p.arrived,
+		Deadline:    p.deadline,
+		Target:      p.route.Target,
+		MaxAttempts: p.route.MaxAttempts,
+		Repeatable:  order.Repeatable,
+		Resendable:  order.Resendable(),
+		Keyed:       order.Key != ibisorder.NoKey,
+	})
+}
+
 // order makes an order of a request.
 func (p plan) order(r Request, body []byte, rest io.Reader) ibisorder.Order {
 	order := ibisorder.Order{
--- /dev/null
+++ b/internal/relay/ibispursue/pursuit_test.go
@@ -0,0 +1,117 @@
+package ibispursue_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
+	"github.com/ibisridge/ibisridge/internal/relay/ibispursue"
+)
+
+func TestPursue(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ibispursue")
+}
+
+var start = time.Unix(1000, 0)
+
+func request(change func(r *ibispursue.Request)) ibispursue.Request {
+	r := ibispursue.Request{
+		Arrived:     start,
+		Deadline:    start.Add(5 * time.Second),
+		Target:      800 * time.Millisecond,
+		MaxAttempts: 2,
+		Repeatable:  true,
+		Resendable:  true,
+	}
+	if change != nil {
+		change(&r)
+	}
+	return r
+}
+
+var (
+	refused = ibispursue.Try{Outcome: ibisid.OutcomeNotRun}
+	full    = ibispursue.Try{Outcome: ibisid.OutcomeNotRun, Full: true}
+	turned  = ibispursue.Try{Outcome: ibisid.OutcomeNotRun, Arrived: true}
+	broken  = ibispursue.Try{Outcome: ibisid.OutcomeUnknown, Arrived: true}
+	left    = ibispursue.Try{Outcome: ibisid.OutcomeUnknown, Gone: true}
+	named   = ibispursue.Try{Outcome: ibisid.OutcomeNotRun, Redirected: true}
+)
+
+var _ = DescribeTable("What follows a try",
+	func(change func(r *ibispursue.Request), tries []ibispursue.Try, after time.Duration, want ibispursue.Step) {
+		p := ibispursue.New(request(change))
+		budget := ibispursue.NewBudget()
+		var step ibispursue.Step
+		for _, t := range tries {
+			step = p.After(t, budget, start.Add(after))
+		}
+		Expect(step).To(Equal(want))
+	},
+	Entry("an answer", nil, []ibispursue.Try{{Outcome: ibisid.OutcomeDone}}, time.Duration(0), ibispursue.StepAnswer),
+	Entry("a refusal that costs no load: elsewhere", nil, []ibispursue.Try{refused}, time.Second, ibispursue.StepAgain),
+	Entry("a full gate at once: elsewhere", nil, []ibispursue.Try{full}, 40*time.Millisecond, ibispursue.StepAgain),
+	Entry("a full gate when a refusal would come late", nil, []ibispursue.Try{full}, 60*time.Millisecond, ibispursue.StepGiveUp),
+	Entry("no time left", nil, []ibispursue.Try{refused}, 4950*time.Millisecond, ibispursue.StepGiveUp),
+	Entry("four refusals", nil, []ibispursue.Try{refused, refused, refused, refused}, time.Duration(0), ibispursue.StepGiveUp),
+	Entry("turned away by a server", nil, []ibispursue.Try{turned}, time.Duration(0), ibispursue.StepAgain),
+	Entry("turned away by as many servers as allowed", nil, []ibispursue.Try{turned, turned}, time.Duration(0), ibispursue.StepGiveUp),
+	Entry("broken, may run twice", nil, []ibispursue.Try{broken}, time.Duration(0), ibispursue.StepAgain),
+	Entry("broken, may run once", func(r *ibispursue.Request) { r.Repeatable = false }, []ibispursue.Try{broken}, time.Duration(0), ibispursue.StepGiveUp),
+	Entry("its body is gone", func(r *ibispursue.Request) { r.Resendable = false }, []ibispursue.Try{refused}, time.Duration(0), ibispursue.StepGiveUp),
+	Entry("the caller has left", nil, []ibispursue.Try{left}, time.Duration(0), ibispursue.StepGiveUp),
+	Entry("keyed, the owner refuses", func(r *ibispursue.Request) { r.Keyed = true }, []ibispursue.Try{refused}, time.Duration(0), ibispursue.StepGiveUp),
+	Entry("keyed, another owner is named", func(r *ibispursue.Request) { r.Keyed = true }, []ibispursue.Try{named}, time.Duration(0), ibispursue.StepAgain),
+)
+
+var _ = Describe("A Pursuit", func() {
+	It("doesn't say that a request has not run once a try may have run", func() {
+		p := ibispursue.New(request(nil))
+		p.After(broken, ibispursue.NewBudget(), start)
+		p.After(refused, ibispursue.NewBudget(), start)
+		Expect(p.Final(ibisid.OutcomeNotRun)).To(Equal(ibisid.OutcomeUnknown))
+		Expect(ibispursue.New(request(nil)).Final(ibisid.OutcomeNotRun)).To(Equal(ibisid.OutcomeNotRun))
+	})
+
+	It("draws on a budget of a tenth of the requests when every server turns requests away", func() {
+		budget := ibispursue.NewBudget()
+		again := 0
+		for range 1000 {
+			budget.Earn()
+			if ibispursue.New(request(nil)).After(turned, budget, start) == ibispursue.StepAgain {
+				again++
+			}
+		}
+		Expect(again).To(BeNumerically("~", 100, 3))
+	})
+})
+
+var _ = Describe("Ages", func() {
+	It("tell how long a caller has been trying, and forget classes that are gone", func() {
+		ages := ibispursue.NewAges()
+		Expect(ages.Of("look", 5*time.Second)).To(BeZero())
+		Expect(ages.Of("look", 3*time.Second)).To(Equal(2 * time.Second))
+		Expect(ages.Of("look", 0)).To(BeZero())
+		ages.Keep(ibisset.Of[ibisid.ClassName]("order"))
+		Expect(ages.Of("look", 3*time.Second)).To(BeZero())
+	})
+})
+
+var _ = Describe("A time to come back", func() {
+	It("is never earlier than promised, and spread", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		seen := ibisset.Of[time.Duration]()
+		for range 100 {
+			d := ibispursue.Return(time.Second, random)
+			Expect(d).To(And(BeNumerically(">=", time.Second), BeNumerically("<=", 1300*time.Millisecond)))
+			seen.Add(d)
+		}
+		Expect(len(seen)).To(BeNumerically(">", 90))
+	})
+})
