A model of the systems served, and ibisridge experiment on it

Change: ibismodel runs the real gates, choosers and pursuits of a whole deployment on fake time from a seed (servers with slots, queue, unlike speeds, slowdown near full, noise, cold starts with a crash above the bound, calls while a slot is held; callers with targets, deadlines and habits; regions and links; skewed keys that move); ibisridge experiment compares policies and baselines over seeds, with a report and plots; ten load patterns in experiments/. A chooser keeps 64 candidates of each distance, so that a node's state doesn't grow with the fleet. The deployed program is ibisrelay, the relay alone, so that plots cost no memory beside a backend server (12 MB on disk instead of 31).

--- /dev/null
+++ b/cmd/ibisrelay/main.go
@@ -0,0 +1,38 @@
+// Command ibisrelay is the relay's node alone, the process that runs beside each backend server of the users' platform. It
+// does what `ibisridge relay` does.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/ibisridge/ibisridge/internal/program/ibisrun"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	var arguments ibisrun.Arguments
+	arg.MustParse(&arguments)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := ibisrun.Relay(ctx, arguments, os.Stdout)
+	stop()
+	switch {
+	case err == nil:
+		return
+	case errors.Is(err, ibisrun.ErrSettings):
+		_, _ = fmt.Fprintln(os.Stderr, "error:", err)
+		os.Exit(exitUsage)
+	}
+	_, _ = fmt.Fprintln(os.Stderr, "error:", err)
+	os.Exit(exitFailed)
+}
--- /dev/null
+++ b/internal/measure/ibismodel/request.go
@@ -0,0 +1,396 @@
+package ibismodel
+
+import (
+	"time"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/relay/ibispursue"
+	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
+	"github.com/ibisridge/ibisridge/internal/request/ibischoose"
+)
+
+const (
+	// reachTimeout is how long a node waits for a connection to one that it can't reach.
+	reachTimeout = 500 * time.Millisecond
+	// silenceTimeout is how long it waits for an answer on a connection that went silent.
+	silenceTimeout = 2500 * time.Millisecond
+)
+
+// request is one attempt of a caller, or a call of a server, at the door of a node.
+type request struct {
+	class    *Class
+	key      int
+	origin   *node
+	arrived  time.Time
+	target   time.Time
+	deadline time.Time
+	pursuit  *ibispursue.Pursuit
+	tried    []ibisid.NodeName
+	current  *attempt
+	// done is called with the end of the request; never after the caller has left.
+	done func(end ending)
+	gone bool
+}
+
+// ending is how a request ended at the door.
+type ending struct {
+	outcome    ibisid.Outcome
+	failed     bool
+	retryAfter time.Duration
+}
+
+// attempt is one try of a request at a backend server.
+type attempt struct {
+	request *request
+	id      uint64
+	node    *node
+	sent    time.Time
+	// admitted says that the gate knows the attempt, or that it runs.
+	admitted bool
+	call     *request
+	ended    bool
+}
+
+// enter takes a request at the door of a node.
+func (w *world) enter(class *Class, key int, origin *node, patience time.Duration, done func(ending)) *request {
+	now := w.Now()
+	age := origin.ages.Of(class.Name, patience)
+	r := &request{
+		class:    class,
+		key:      key,
+		origin:   origin,
+		arrived:  now,
+		target:   now.Add(min(class.Target.Duration-age, patience)),
+		deadline: now.Add(patience),
+		done:     done,
+	}
+	attempts := class.MaxAttempts
+	if attempts == 0 {
+		attempts = 2
+	}
+	r.pursuit = ibispursue.New(ibispursue.Request{
+		Arrived:     now,
+		Deadline:    r.deadline,
+		Target:      class.Target.Duration,
+		MaxAttempts: attempts,
+		Repeatable:  class.Repeatable,
+		Resendable:  true,
+		Keyed:       w.services[class.Service].config.Keyed,
+	})
+	origin.budget.Earn()
+	w.send(r, ending{
+		outcome:    ibisid.OutcomeNotRun,
+		retryAfter: ibispursue.DefaultReturn,
+	})
+	return r
+}
+
+// send sends a request to the node that the policy picks, or ends it as its last try did.
+func (w *world) send(r *request, last ending) {
+	to, retryAfter := w.pick(r)
+	if to == nil {
+		last.outcome = r.pursuit.Final(last.outcome)
+		last.retryAfter = max(last.retryAfter, retryAfter)
+		w.end(r, last)
+		return
+	}
+	w.nextID++
+	a := &attempt{
+		request: r,
+		id:      w.nextID,
+		node:    to,
+		sent:    w.Now(),
+	}
+	r.current = a
+	r.tried = append(r.tried, to.name)
+	r.origin.sent[to.name]++
+	if chooser := r.origin.choosers[r.class.Service]; chooser != nil {
+		chooser.Update(ibischoose.SentEvent{
+			ID:    ibischoose.RequestID(a.id),
+			Node:  to.name,
+			Class: r.class.Name,
+		}, w.Now())
+	}
+	w.After(w.delay(r.origin, to), func() { w.deliver(a) })
+}
+
+// deliver brings an attempt to the gate of its node.
+func (w *world) deliver(a *attempt) {
+	switch {
+	case a.ended:
+		return
+	case !a.node.reachable || !a.request.origin.reachable:
+		w.After(reachTimeout, func() {
+			w.reply(a, ibispursue.Try{Outcome: ibisid.OutcomeNotRun}, ending{outcome: ibisid.OutcomeNotRun})
+		})
+		return
+	case !a.node.server.up:
+		w.answer(a, ibispursue.Try{Outcome: ibisid.OutcomeNotRun}, ending{outcome: ibisid.OutcomeNotRun})
+		return
+	case a.node.gate == nil:
+		w.begin(a)
+		return
+	}
+	a.admitted = true
+	a.node.waiting[ibisadmit.RequestID(a.id)] = a
+	w.update(a.node, ibisadmit.ArriveEvent{
+		ID:       ibisadmit.RequestID(a.id),
+		Class:    a.request.class.Name,
+		Target:   a.request.target,
+		Deadline: a.request.deadline,
+	})
+}
+
+// update hands an event to a gate and carries its effects out.
+func (w *world) update(n *node, event ibisadmit.Event) {
+	for _, effect := range n.gate.Update(event, w.Now()) {
+		switch e := effect.(type) {
+		case ibisadmit.AdmitEffect:
+			if a := n.take(e.ID); a != nil {
+				w.begin(a)
+			}
+		case ibisadmit.RefuseEffect:
+			if a := n.take(e.ID); a != nil {
+				full := e.Reason == ibisadmit.ReasonTarget || e.Reason == ibisadmit.ReasonQueueFull || e.Reason == ibisadmit.ReasonDeadline
+				w.answer(a, ibispursue.Try{
+					Outcome: ibisid.OutcomeNotRun,
+					Full:    full,
+				}, ending{
+					outcome:    ibisid.OutcomeNotRun,
+					retryAfter: e.RetryAfter,
+				})
+			}
+		case ibisadmit.DrainedEffect:
+		}
+	}
+}
+
+func (n *node) take(id ibisadmit.RequestID) *attempt {
+	a := n.waiting[id]
+	delete(n.waiting, id)
+	return a
+}
+
+// begin hands an attempt to the backend server.
+func (w *world) begin(a *attempt) {
+	s := a.node.server
+	if !s.arrive(w.Now()) {
+		w.fall(s)
+		return
+	}
+	switch {
+	case len(s.running) < s.config.Slots:
+		w.run(a)
+	case len(s.queue) < s.config.Queue:
+		s.queue = append(s.queue, a)
+	default:
+		s.rejected++
+		w.finished(a, true)
+		w.answer(a, ibispursue.Try{
+			Outcome: ibisid.OutcomeNotRun,
+			Arrived: true,
+		}, ending{outcome: ibisid.OutcomeNotRun})
+	}
+}
+
+// run begins the work of an attempt; half-way it may call another service while it keeps its slot.
+func (w *world) run(a *attempt) {
+	s, class := a.node.server, a.request.class
+	s.running[a] = struct{}{}
+	s.served++
+	span := s.span(class.Work.Duration, w.Now())
+	fails := s.random.Float64() < s.grey
+	calls := class.Calls != "" && (class.CallShare == 0 || s.random.Float64() < class.CallShare)
+	if !calls {
+		w.After(span, func() { w.complete(a, fails) })
+		return
+	}
+	w.After(span/2, func() {
+		if a.ended {
+			return
+		}
+		callee := w.classes[class.Calls]
+		patience := min(callee.Deadline.Duration, a.request.deadline.Sub(w.Now()))
+		a.call = w.enter(callee, w.drawKey(), a.node, patience, func(end ending) {
+			a.call = nil
+			failed := fails || end.failed || end.outcome != ibisid.OutcomeDone
+			if failed {
+				w.After(0, func() { w.complete(a, true) })
+				return
+			}
+			w.After(span/2, func() { w.complete(a, false) })
+		})
+		w.After(patience, func() {
+			if a.call != nil {
+				call := a.call
+				a.call = nil
+				w.leave(call)
+				w.complete(a, true)
+			}
+		})
+	})
+}
+
+// complete ends the work of an attempt with the server's own answer.
+func (w *world) complete(a *attempt, failed bool) {
+	if a.ended {
+		return
+	}
+	w.free(a)
+	w.finished(a, failed)
+	transfer := time.Duration(0)
+	if w.config.Fleet.MegabitsPerSecond > 0 {
+		transfer = time.Duration(float64(a.request.class.AnswerBytes) * 8 / (w.config.Fleet.MegabitsPerSecond * 1e6) * float64(time.Second))
+	}
+	if a.node.region != a.request.origin.region {
+		w.tally.regionBytes += int64(a.request.class.AnswerBytes)
+	}
+	w.After(transfer, func() {
+		w.answer(a, ibispursue.Try{
+			Outcome: ibisid.OutcomeDone,
+			Arrived: true,
+		}, ending{
+			outcome: ibisid.OutcomeDone,
+			failed:  failed,
+		})
+	})
+}
+
+// free gives the slot of an attempt to the next one in the server's own queue.
+func (w *world) free(a *attempt) {
+	s := a.node.server
+	delete(s.running, a)
+	for len(s.queue) > 0 && len(s.running) < s.config.Slots {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		if !next.ended {
+			w.run(next)
+		}
+	}
+}
+
+// finished tells the gate that an attempt has left its server.
+func (w *world) finished(a *attempt, failed bool) {
+	if a.node.gate != nil && a.admitted {
+		w.update(a.node, ibisadmit.FinishEvent{
+			ID:      ibisadmit.RequestID(a.id),
+			Latency: w.Now().Sub(a.sent),
+			Failed:  failed,
+		})
+	}
+}
+
+// answer sends the end of an attempt back to the door.
+func (w *world) answer(a *attempt, try ibispursue.Try, end ending) {
+	origin := a.request.origin
+	if a.node != origin && (!a.node.reachable || !origin.reachable) {
+		w.After(silenceTimeout, func() {
+			w.reply(a, ibispursue.Try{Outcome: ibisid.OutcomeUnknown}, ending{outcome: ibisid.OutcomeUnknown})
+		})
+		return
+	}
+	load := 0.0
+	if a.node.gate != nil {
+		load = a.node.gate.Load(w.Now())
+	}
+	w.After(w.delay(a.node, origin), func() {
+		if !a.ended {
+			w.learn(a, resultOf(end), end.retryAfter, load)
+		}
+		w.reply(a, try, end)
+	})
+}
+
+func resultOf(end ending) ibischoose.Result {
+	switch {
+	case end.outcome == ibisid.OutcomeNotRun:
+		return ibischoose.ResultRefused
+	case end.outcome == ibisid.OutcomeUnknown || end.failed:
+		return ibischoose.ResultFailed
+	}
+	return ibischoose.ResultDone
+}
+
+// learn tells the door's chooser how an attempt ended.
+func (w *world) learn(a *attempt, result ibischoose.Result, retryAfter time.Duration, load float64) {
+	origin := a.request.origin
+	origin.sent[a.node.name]--
+	if chooser := origin.choosers[a.request.class.Service]; chooser != nil {
+		chooser.Update(ibischoose.DoneEvent{
+			ID:         ibischoose.RequestID(a.id),
+			Node:       a.node.name,
+			Result:     result,
+			Latency:    w.Now().Sub(a.sent),
+			RetryAfter: retryAfter,
+			GateLoad:   load,
+		}, w.Now())
+	}
+}
+
+// reply takes the end of an attempt in at the door.
+func (w *world) reply(a *attempt, try ibispursue.Try, end ending) {
+	r := a.request
+	if a.ended || r.gone {
+		return
+	}
+	a.ended = true
+	switch r.pursuit.After(try, r.origin.budget, w.Now()) {
+	case ibispursue.StepAnswer:
+		w.end(r, end)
+	case ibispursue.StepAgain:
+		w.send(r, end)
+	case ibispursue.StepGiveUp:
+		end.outcome = r.pursuit.Final(end.outcome)
+		w.end(r, end)
+	}
+}
+
+// end gives a request its final answer.
+func (w *world) end(r *request, end ending) {
+	if r.gone {
+		return
+	}
+	r.gone = true
+	if end.outcome == ibisid.OutcomeNotRun {
+		end.retryAfter = ibispursue.Return(max(end.retryAfter, ibispursue.DefaultReturn), r.origin.random)
+	}
+	// The end comes as an event of its own, so that nobody's state changes under a caller of enter.
+	w.After(0, func() { r.done(end) })
+}
+
+// leave takes back a request whose caller has gone; its work stops when the server has heard so.
+func (w *world) leave(r *request) {
+	if r.gone {
+		return
+	}
+	r.gone = true
+	a := r.current
+	if a == nil || a.ended {
+		return
+	}
+	w.learn(a, ibischoose.ResultCancelled, 0, 0)
+	w.After(w.delay(r.origin, a.node), func() {
+		if a.ended {
+			return
+		}
+		a.ended = true
+		if _, runs := a.node.server.running[a]; runs {
+			if a.call != nil {
+				call := a.call
+				a.call = nil
+				w.leave(call)
+			}
+			w.free(a)
+			w.finished(a, false)
+			return
+		}
+		if a.node.gate == nil || !a.admitted {
+			return
+		}
+		if a.node.take(ibisadmit.RequestID(a.id)) != nil {
+			w.update(a.node, ibisadmit.CancelEvent{ID: ibisadmit.RequestID(a.id)})
+			return
+		}
+		w.finished(a, false)
+	})
+}
--- a/internal/measure/ibistrial/attempt.go
+++ b/internal/measure/ibistrial/attempt.go
@@ -11,9 +11,9 @@
 
 func (t *trial) send(d *door, e ibisretry.SendEffect) {
 	r := d.requests[e.ID]
-	node, ok := d.picker.pick(r.tried, t.now)
+	node, ok := d.picker.pick(r.tried, t.Now())
 	if !ok {
-		t.after(0, func() { t.answer(d, e.ID, e.Attempt, ibisid.OutcomeNotRun, 0) })
+		t.After(0, func() { t.answer(d, e.ID, e.Attempt, ibisid.OutcomeNotRun, 0) })
 		return
 	}
 	t.number++
@@ -23,7 +23,7 @@
 		number:  e.Attempt,
 		id:      t.number,
 		server:  t.byName[node],
-		sent:    t.now,
+		sent:    t.Now(),
 	}
 	r.tried = append(r.tried, node)
 	r.attempts[e.Attempt] = a
@@ -31,8 +31,8 @@
 		ID:    ibischoose.RequestID(a.id),
 		Node:  node,
 		Class: className,
-	}, t.now)
-	t.after(distance(d.place, a.server.place), func() { t.enter(a, r.deadline) })
+	}, t.Now())
+	t.After(distance(d.place, a.server.place), func() { t.enter(a, r.deadline) })
 }
 
 func distance(a, b ibisid.Place) time.Duration {
@@ -61,7 +61,7 @@
 }
 
 func (t *trial) gateUpdate(s *server, event ibisadmit.Event) {
-	for _, effect := range s.gate.Update(event, t.now) {
+	for _, effect := range s.gate.Update(event, t.Now()) {
 		switch e := effect.(type) {
 		case ibisadmit.AdmitEffect:
 			t.serve(s, e)
@@ -74,12 +74,12 @@
 
 func (t *trial) serve(s *server, e ibisadmit.AdmitEffect) {
 	a := s.attempts[e.ID]
-	begun := t.now
+	begun := t.Now()
 	if e.OpenConnection {
 		begun = begun.Add(openTime)
 	}
 	end := s.begin(begun)
-	t.at(end, func() { t.served(s, e.ID, a, end.Sub(begun)) })
+	t.At(end, func() { t.served(s, e.ID, a, end.Sub(begun)) })
 }
 
 func (t *trial) served(s *server, id ibisadmit.RequestID, a *attempt, latency time.Duration) {
@@ -104,8 +104,8 @@
 
 // goBack sends an answer with the gate's load to the door.
 func (t *trial) goBack(a *attempt, result ibischoose.Result, outcome ibisid.Outcome, retryAfter time.Duration) {
-	load := a.server.gate.Load(t.now)
-	t.after(distance(a.server.place, a.door.place), func() {
+	load := a.server.gate.Load(t.Now())
+	t.After(distance(a.server.place, a.door.place), func() {
 		a.gateLoad = load
 		t.returned(a, result, outcome, retryAfter)
 	})
@@ -116,7 +116,7 @@
 		return
 	}
 	t.close(a, result, retryAfter)
-	t.answer(a.door, a.request, a.number, outcome, t.now.Sub(a.sent))
+	t.answer(a.door, a.request, a.number, outcome, t.Now().Sub(a.sent))
 }
 
 func (t *trial) close(a *attempt, result ibischoose.Result, retryAfter time.Duration) {
@@ -128,11 +128,11 @@
 		ID:         ibischoose.RequestID(a.id),
 		Node:       a.server.name,
 		Result:     result,
-		Latency:    t.now.Sub(a.sent),
+		Latency:    t.Now().Sub(a.sent),
 		RetryAfter: retryAfter,
 		GateLoad:   a.gateLoad,
 		Bytes:      answerBytes,
-	}, t.now)
+	}, t.Now())
 }
 
 func (t *trial) answer(d *door, id ibisretry.RequestID, number ibisretry.Attempt, outcome ibisid.Outcome, latency time.Duration) {
@@ -141,7 +141,7 @@
 		Attempt: number,
 		Outcome: outcome,
 		Latency: latency,
-	}, t.now))
+	}, t.Now()))
 }
 
 // cancel takes an attempt back; the server hears of it after the way there and stops its work.
@@ -150,7 +150,7 @@
 		return
 	}
 	t.close(a, ibischoose.ResultCancelled, 0)
-	t.after(distance(a.door.place, a.server.place), func() { t.cancelled(a) })
+	t.After(distance(a.door.place, a.server.place), func() { t.cancelled(a) })
 }
 
 func (t *trial) cancelled(a *attempt) {
@@ -177,14 +177,14 @@
 
 func (t *trial) finish(d *door, e ibisretry.FinishEffect) {
 	r := d.requests[e.ID]
-	took := t.now.Sub(r.begun)
+	took := t.Now().Sub(r.begun)
 	if e.Outcome != ibisid.OutcomeDone {
 		t.result.NotRun++
 		t.result.RefusalLatency = max(t.result.RefusalLatency, took)
 		return
 	}
 	t.latencies = append(t.latencies, took)
-	if t.now.After(r.deadline) {
+	if t.Now().After(r.deadline) {
 		t.result.Late++
 		return
 	}
--- a/internal/measure/ibistrial/trial.go
+++ b/internal/measure/ibistrial/trial.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/measure/ibisagenda"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 	"github.com/ibisridge/ibisridge/internal/request/ibischoose"
 	"github.com/ibisridge/ibisridge/internal/request/ibisretry"
@@ -24,7 +25,7 @@
 
 // trial is one run of a scenario.
 type trial struct {
-	clock
+	*ibisagenda.Agenda
 	scenario  Scenario
 	start     time.Time
 	end       time.Time
@@ -45,20 +46,20 @@
 	t.planCold()
 	t.planDomain()
 	t.arriveNext()
-	t.runUntil(t.end.Add(10 * time.Second))
+	t.RunUntil(t.end.Add(10 * time.Second))
 	return t.measure()
 }
 
 func newTrial(s Scenario) *trial {
 	start := time.Unix(1_000_000, 0)
 	t := &trial{
+		Agenda:   ibisagenda.New(start),
 		scenario: s,
 		start:    start,
 		end:      start.Add(s.Duration),
 		byName:   make(map[ibisid.NodeName]*server),
 		arrivals: s.source(seedArrivals, 0),
 	}
-	t.now = start
 	for i, place := range s.Places {
 		t.addServer(i, place)
 	}
@@ -88,7 +89,7 @@
 	s := &server{
 		name:      ibisid.NodeName(fmt.Sprintf("n%02d", i)),
 		place:     place,
-		gate:      ibisadmit.New(config, t.now),
+		gate:      ibisadmit.New(config, t.Now()),
 		random:    t.scenario.source(seedServers, i),
 		realSlots: slots,
 		liar:      i < t.scenario.Liars,
@@ -108,7 +109,7 @@
 		policy:   ibisretry.New(ibisretry.Config{}, t.scenario.source(seedRetries, i)),
 		requests: make(map[ibisretry.RequestID]*request),
 	}
-	d.picker.update(t.candidates(""), t.now)
+	d.picker.update(t.candidates(""), t.Now())
 	t.doors = append(t.doors, d)
 }
 
@@ -136,8 +137,8 @@
 
 func (t *trial) arriveNext() {
 	gap := t.arrivals.ExpFloat64() / (t.capacity() * t.scenario.Load)
-	t.after(time.Duration(gap*float64(time.Second)), func() {
-		if t.now.After(t.end) {
+	t.After(time.Duration(gap*float64(time.Second)), func() {
+		if t.Now().After(t.end) {
 			return
 		}
 		t.arrive(t.doors[t.arrivals.IntN(len(t.doors))])
@@ -149,9 +150,9 @@
 	t.number++
 	t.result.Requests++
 	id := ibisretry.RequestID(t.number)
-	deadline := t.now.Add(t.scenario.Deadline)
+	deadline := t.Now().Add(t.scenario.Deadline)
 	d.requests[id] = &request{
-		begun:    t.now,
+		begun:    t.Now(),
 		deadline: deadline,
 		attempts: make(map[ibisretry.Attempt]*attempt),
 	}
@@ -161,7 +162,7 @@
 		Idempotent: true,
 		Hedge:      t.scenario.Policy == PolicyHedged,
 		Deadline:   deadline,
-	}, t.now))
+	}, t.Now()))
 }
 
 func (t *trial) follow(d *door, effects []ibisretry.Effect) {
@@ -172,7 +173,7 @@
 		case ibisretry.CancelEffect:
 			t.cancel(d.requests[e.ID].attempts[e.Attempt])
 		case ibisretry.WakeEffect:
-			t.at(e.At, func() { t.follow(d, d.policy.Update(ibisretry.WakeEvent{ID: e.ID}, t.now)) })
+			t.At(e.At, func() { t.follow(d, d.policy.Update(ibisretry.WakeEvent{ID: e.ID}, t.Now())) })
 		case ibisretry.FinishEffect:
 			t.finish(d, e)
 		}
@@ -190,32 +191,32 @@
 }
 
 func (t *trial) planReports() {
-	if t.now.After(t.end) {
+	if t.Now().After(t.end) {
 		return
 	}
 	for _, s := range t.servers {
 		event := ibischoose.ReportEvent{
 			Node: s.name,
 			Load: s.load(),
-			At:   t.now,
+			At:   t.Now(),
 		}
-		t.after(reportDelay, func() {
+		t.After(reportDelay, func() {
 			for _, d := range t.doors {
-				d.picker.update(event, t.now)
+				d.picker.update(event, t.Now())
 			}
 		})
 	}
-	t.after(reportPeriod, t.planReports)
+	t.After(reportPeriod, t.planReports)
 }
 
 func (t *trial) planTicks() {
-	if t.now.After(t.end.Add(time.Second)) {
+	if t.Now().After(t.end.Add(time.Second)) {
 		return
 	}
 	for _, s := range t.servers {
 		t.gateUpdate(s, ibisadmit.TickEvent{})
 	}
-	t.after(ibisadmit.TickPeriod, t.planTicks)
+	t.After(ibisadmit.TickPeriod, t.planTicks)
 }
 
 func (t *trial) planCold() {
@@ -226,7 +227,7 @@
 		s.coldFrom = t.start.Add(t.scenario.ColdAt)
 		s.coldSpan = t.scenario.ColdStart
 		if !t.scenario.ColdSilent {
-			t.at(s.coldFrom, func() { t.gateUpdate(s, ibisadmit.ColdEvent{}) })
+			t.At(s.coldFrom, func() { t.gateUpdate(s, ibisadmit.ColdEvent{}) })
 		}
 	}
 }
@@ -243,12 +244,12 @@
 		if s.place.Domain != out {
 			continue
 		}
-		t.at(leave, func() { t.gateUpdate(s, ibisadmit.DomainEvent{Out: true}) })
-		t.at(back, func() { t.gateUpdate(s, ibisadmit.DomainEvent{RampUp: t.scenario.Duration / 6}) })
+		t.At(leave, func() { t.gateUpdate(s, ibisadmit.DomainEvent{Out: true}) })
+		t.At(back, func() { t.gateUpdate(s, ibisadmit.DomainEvent{RampUp: t.scenario.Duration / 6}) })
 	}
 	for _, d := range t.doors {
-		t.at(leave.Add(domainNotice), func() { d.picker.update(t.candidates(out), t.now) })
-		t.at(back.Add(domainNotice), func() { d.picker.update(t.candidates(""), t.now) })
+		t.At(leave.Add(domainNotice), func() { d.picker.update(t.candidates(out), t.Now()) })
+		t.At(back.Add(domainNotice), func() { d.picker.update(t.candidates(""), t.Now()) })
 	}
 }
 
@@ -273,7 +274,7 @@
 		most = max(most, s.served)
 		total += s.served
 		r.Overrun = max(r.Overrun, s.overrun)
-		r.MeanLimit += float64(s.gate.Limit(t.now)) / float64(len(t.servers))
+		r.MeanLimit += float64(s.gate.Limit(t.Now())) / float64(len(t.servers))
 	}
 	r.Imbalance = float64(most*len(t.servers)) / float64(max(1, total))
 	return r
--- a/internal/program/ibiscli/cli.go
+++ b/internal/program/ibiscli/cli.go
@@ -19,21 +19,22 @@
 
 // arguments is the whole command line.
 type arguments struct {
-	Dev     *devCommand     `arg:"subcommand:dev" help:"run a whole small system in one process"`
-	Node    *nodeCommand    `arg:"subcommand:node" help:"run the node beside a backend server"`
-	Relay   *relayCommand   `arg:"subcommand:relay" help:"run the node beside a backend server of the users' platform"`
-	Doc     *docCommands    `arg:"subcommand:doc" help:"read, check and change the document"`
-	Key     *keyCommands    `arg:"subcommand:key" help:"translate keys and find their owners"`
-	Status  *statusCommand  `arg:"subcommand:status" help:"show nodes, domains, leases, slots and histograms"`
-	Drain   *drainCommand   `arg:"subcommand:drain" help:"let a node hand over and finish its work"`
-	Ended   *endedCommand   `arg:"subcommand:ended" help:"declare a node dead whose process has ended for ever"`
-	Domain  *domainCommands `arg:"subcommand:domain" help:"take a failure domain out, or in again"`
-	Soak    *soakCommand    `arg:"subcommand:soak" help:"run nodes as processes and inject faults from outside"`
-	Explain *explainCommand `arg:"subcommand:explain" help:"tell from logs what became of a request"`
-	Measure *measureCommand `arg:"subcommand:measure" help:"measure the decisions under load and faults"`
-	Matrix  *matrixCommand  `arg:"subcommand:matrix" help:"run every fault at every step"`
-	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in for the platform's store"`
-	Backend *backendCommand `arg:"subcommand:backend" help:"run a stand-in backend server"`
+	Dev        *devCommand        `arg:"subcommand:dev" help:"run a whole small system in one process"`
+	Node       *nodeCommand       `arg:"subcommand:node" help:"run the node beside a backend server"`
+	Relay      *relayCommand      `arg:"subcommand:relay" help:"run the node beside a backend server of the users' platform"`
+	Doc        *docCommands       `arg:"subcommand:doc" help:"read, check and change the document"`
+	Key        *keyCommands       `arg:"subcommand:key" help:"translate keys and find their owners"`
+	Status     *statusCommand     `arg:"subcommand:status" help:"show nodes, domains, leases, slots and histograms"`
+	Drain      *drainCommand      `arg:"subcommand:drain" help:"let a node hand over and finish its work"`
+	Ended      *endedCommand      `arg:"subcommand:ended" help:"declare a node dead whose process has ended for ever"`
+	Domain     *domainCommands    `arg:"subcommand:domain" help:"take a failure domain out, or in again"`
+	Soak       *soakCommand       `arg:"subcommand:soak" help:"run nodes as processes and inject faults from outside"`
+	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell from logs what became of a request"`
+	Measure    *measureCommand    `arg:"subcommand:measure" help:"measure the decisions under load and faults"`
+	Experiment *experimentCommand `arg:"subcommand:experiment" help:"run a model of a whole system under several policies"`
+	Matrix     *matrixCommand     `arg:"subcommand:matrix" help:"run every fault at every step"`
+	Standin    *standinCommand    `arg:"subcommand:standin" help:"run a stand-in for the platform's store"`
+	Backend    *backendCommand    `arg:"subcommand:backend" help:"run a stand-in backend server"`
 }
 
 // Description returns what the program is, for its help.
--- a/internal/program/ibiscli/relay.go
+++ b/internal/program/ibiscli/relay.go
@@ -2,19 +2,13 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
+	"errors"
 
-	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
-	"github.com/ibisridge/ibisridge/internal/node/ibislog"
-	"github.com/ibisridge/ibisridge/platform"
+	"github.com/ibisridge/ibisridge/internal/program/ibisrun"
 )
 
 type relayCommand struct {
-	Settings string `arg:"--settings,env:IBISRIDGE_SETTINGS" placeholder:"FILE" help:"settings in JSON"`
-	Check    bool   `arg:"--check" help:"check the settings, print them as they are in force, and end"`
-	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+	ibisrun.Arguments
 }
 
 // Description returns what the command is for, for its help.
@@ -28,39 +22,11 @@
 }
 
 func (c *relayCommand) run(ctx context.Context, t Terminal) error {
-	load := func() (platform.Settings, error) { return platform.ReadSettings(t.path(c.Settings)) }
-	settings, err := load()
-	if err != nil {
+	arguments := c.Arguments
+	arguments.Settings = t.path(arguments.Settings)
+	err := ibisrun.Relay(ctx, arguments, t.Out)
+	if errors.Is(err, ibisrun.ErrSettings) {
 		return usageError("%w", err)
 	}
-	if c.Check {
-		return writeJSON(t.Out, settings)
-	}
-	out := ibislog.NewDropping(t.Out)
-	defer func() { _ = out.Close() }()
-	log, err := ibislog.New(out, c.LogLevel)
-	if err != nil {
-		return usageError("%w", err)
-	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	reload := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-hup:
-			case <-ctx.Done():
-				return
-			}
-			select {
-			case reload <- struct{}{}:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	work, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
-	return platform.NewNode(work, settings, ibistimer.New(), log).Run(ctx, reload, load)
+	return err
 }
--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -27,6 +27,11 @@
 	// bufferedAnswer is the greatest answer that is read whole before its first byte goes out: if it breaks off it can be
 	// asked for again.
 	bufferedAnswer = 16 << 10
+	// minChoice is the number of usable backend servers below which those further away are taken in.
+	minChoice = 2
+	// outstandingPerSlot is how many requests of one node may be on their way to a backend server for each of its slots: as
+	// many again as run may wait at the gate.
+	outstandingPerSlot = 2
 	// ordinaryEvery is how many ordinary requests share one log line, so that lines take at most 3% of a node's time.
 	ordinaryEvery = 10
 )
@@ -191,6 +196,24 @@
 	f.refresh()
 }
 
+// ChooserConfig returns how the relay sets a node's choosers up.
+func ChooserConfig(own ibisid.Place) ibischoose.Config {
+	return ibischoose.Config{
+		Own:       own,
+		MinChoice: minChoice,
+		Aside:     true,
+	}
+}
+
+// Candidate returns a backend server as the relay's choosers know it.
+func Candidate(node ibisid.NodeName, place ibisid.Place, slots int) ibischoose.Candidate {
+	return ibischoose.Candidate{
+		Node:  node,
+		Place: place,
+		Slots: slots * outstandingPerSlot,
+	}
+}
+
 // refresh gives every chooser its candidates.
 func (f *Front) refresh() {
 	if f.config == nil {
@@ -199,25 +222,17 @@
 	for _, name := range f.config.Services() {
 		chooser := f.choosers[name]
 		if chooser == nil {
-			chooser = ibischoose.New(ibischoose.Config{
-				Own:       f.settings.Place,
-				MinChoice: 2,
-				Aside:     true,
-			}, f.random)
+			chooser = ibischoose.New(ChooserConfig(f.settings.Place), f.random)
 			f.choosers[name] = chooser
 		}
 		var candidates []ibischoose.Candidate
 		for _, m := range f.roster.Of(name) {
 			if m.Serves() && !f.out.Has(m.Place.Domain) && !f.down.Has(m.Node) {
-				candidates = append(candidates, ibischoose.Candidate{
-					Node:  m.Node,
-					Place: m.Place,
-					Slots: m.Server.Slots * 2,
-				})
+				candidates = append(candidates, Candidate(m.Node, m.Place, m.Server.Slots))
 			}
 		}
 		chooser.Update(ibischoose.CandidatesEvent{
-			Candidates: candidates,
+			Candidates: ibischoose.Subset(f.settings.Node, f.settings.Place, candidates),
 		}, f.clock.Now())
 	}
 }
--- a/internal/relay/ibisguard/guard.go
+++ b/internal/relay/ibisguard/guard.go
@@ -24,6 +24,8 @@
 	movingRetry = 800 * time.Millisecond
 	// coldHeadroom is how much more than it says a cold server gets: half of what the rules allow above that.
 	coldHeadroom = 1.25
+	// queueLength is how many requests of one class may wait at a gate.
+	queueLength = 48
 	// shortestTime is the least time left that is worth a request to a backend server.
 	shortestTime = 5 * time.Millisecond
 )
--- a/internal/relay/ibisguard/rules.go
+++ b/internal/relay/ibisguard/rules.go
@@ -49,20 +49,42 @@
 	if g.gate != nil {
 		g.apply(ibisadmit.DrainEvent{}, now)
 	}
-	g.gate = ibisadmit.New(ibisadmit.Config{
-		Slots:       g.server.Slots,
-		Connections: max(g.rules.Connections, g.server.Slots),
+	g.gate = ibisadmit.New(g.rules.gate(g.server.Slots), now)
+}
+
+// gate returns how the gate of a backend server with so many slots is set up.
+func (r Rules) gate(slots int) ibisadmit.Config {
+	return GateConfig(slots, r.Connections, r.Sharded, r.Policy)
+}
+
+// GateConfig returns how the relay sets the gate of a backend server up.
+func GateConfig(slots, connections int, sharded bool, policy ibisadmit.Policy) ibisadmit.Config {
+	return ibisadmit.Config{
+		Slots:       slots,
+		Connections: max(connections, slots),
 		Law:         ibisadmit.LawFixed,
-		KeepQueue:   g.rules.Sharded,
-		Policy:      g.rules.Policy,
-	}, now)
+		KeepQueue:   sharded,
+		Policy:      policy,
+	}
 }
 
+// ClassPolicy returns how the relay orders a class at a gate, by its rank, 0 for the most urgent.
+func ClassPolicy(rank int) ibisadmit.ClassPolicy {
+	return ibisadmit.ClassPolicy{
+		Priority:    -rank,
+		QueueLength: queueLength,
+	}
+}
+
+// ColdRate returns the number of requests in any second that the relay gives a cold backend server which says that it bears
+// so many.
+func ColdRate(perSecond float64) int { return int(math.Ceil(perSecond * coldHeadroom)) }
+
 // applyCold bounds admission while the backend server is cold.
 func (g *Guard) applyCold(now time.Time) {
 	if g.rules.ColdPerSecond > 0 {
 		g.apply(ibisadmit.ColdEvent{
-			PerSecond: int(math.Ceil(g.rules.ColdPerSecond * coldHeadroom)),
+			PerSecond: ColdRate(g.rules.ColdPerSecond),
 			For:       g.coldUntil.Sub(now),
 		}, now)
 	}
