A class waits for the slots that more urgent classes leave

Cause: the wait of a lookup was reckoned from all slots, while payments that keep coming hold most of them; it was let in, waited and was refused late. Ruled out: the server's own queue (its 4 places are empty under the gate), the way back of refusals (p99 83 ms without gates). Change: the wait is reckoned from the limit less the slots that more urgent classes hold.

--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -102,7 +102,7 @@
 	if ahead == 0 && g.hasRoom(q, now) && g.aheadOfClass(q) == 0 {
 		return 0
 	}
-	slots := max(1, min(limit, g.classBound(q, limit)))
+	slots := max(1, min(limit-g.urgentSlots(q), g.classBound(q, limit)))
 	wait := float64(ahead+1) * g.hold(q.name).mean.Value() / float64(slots)
 	for _, other := range g.queues {
 		if other == q {
@@ -113,6 +113,17 @@
 	return max(time.Duration(wait), g.cold.wait(ahead+1+g.aheadOfClass(q), now))
 }
 
+// urgentSlots returns how many slots requests of more urgent classes hold, which others of them take over as they end.
+func (g *Gate) urgentSlots(q *classQueue) int {
+	n := 0
+	for _, other := range g.queues {
+		if other.policy.Priority > q.policy.Priority {
+			n += other.running
+		}
+	}
+	return n
+}
+
 func (g *Gate) aheadOfClass(q *classQueue) int {
 	n := 0
 	for _, other := range g.queues {
