Requests that become late while they wait go behind those that can still meet their target

Cause: a request that was let in on time and overtaken by more urgent ones kept its place, was served late and made those behind it late. Change: on its way to a slot a request that can't meet its target any more goes behind, or is refused at once where it is not worth a place.

--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -44,6 +44,7 @@
 		id:       e.ID,
 		tenant:   e.Tenant,
 		deadline: e.Deadline,
+		target:   e.Target,
 	}, tenant.weight())
 }
 
--- a/internal/request/ibisadmit/dispatch.go
+++ b/internal/request/ibisadmit/dispatch.go
@@ -7,11 +7,14 @@
 	for _, q := range g.queues {
 		for q.length > 0 && g.hasRoom(q, now) {
 			w, _ := q.pop()
-			if g.late(q, w.deadline, 0, now) {
+			switch {
+			case g.late(q, w.deadline, 0, now):
 				g.refuse(w.id, ReasonDeadline, minRetryAfter)
-				continue
+			case !q.late && g.late(q, w.target, 0, now):
+				g.putBehind(w, g.queue(q.name, true), now)
+			default:
+				g.admit(q, w, now)
 			}
-			g.admit(q, w, now)
 		}
 	}
 }
@@ -54,7 +57,19 @@
 	return max(1, int(share*float64(limit)))
 }
 
-// shed refuses each waiting request that can't finish before its deadline at the present limit.
+// putBehind lets a request that has become late wait behind what can still meet its target, if it is worth a place there.
+func (g *Gate) putBehind(w waiting, late *classQueue, now time.Time) {
+	weight := g.config.Policy.Tenants[w.tenant].weight()
+	wait := g.estimateWait(late, late.ahead(w.tenant, weight), now)
+	if g.hopeless(late, w.deadline, wait, now) || late.length >= late.policy.queueLength() {
+		g.refuse(w.id, ReasonTarget, max(wait, minRetryAfter))
+		return
+	}
+	late.push(w, weight)
+}
+
+// shed refuses each waiting request that can't finish before its deadline at the present limit, and puts those behind that
+// can't meet their target any more.
 func (g *Gate) shed(now time.Time) {
 	for _, q := range g.queues {
 		late := q.remove(func(w waiting, ahead int) bool {
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -163,15 +163,21 @@
 	if q != nil {
 		return q
 	}
-	q = &classQueue{
-		name:   name,
-		late:   late,
-		policy: g.config.Policy.Classes[name],
+	// Both come at once, so that the list of queues does not change while it is walked.
+	for _, late := range []bool{false, true} {
+		q := &classQueue{
+			name:   name,
+			late:   late,
+			policy: g.config.Policy.Classes[name],
+		}
+		g.byClass[queueKey{
+			class: name,
+			late:  late,
+		}] = q
+		g.queues = append(g.queues, q)
 	}
-	g.byClass[key] = q
-	g.queues = append(g.queues, q)
 	g.sortQueues()
-	return q
+	return g.byClass[key]
 }
 
 func (g *Gate) sortQueues() {
--- a/internal/request/ibisadmit/queue.go
+++ b/internal/request/ibisadmit/queue.go
@@ -13,6 +13,7 @@
 	id       RequestID
 	tenant   ibisid.TenantName
 	deadline time.Time
+	target   time.Time
 	start    float64
 }
 
