--- a/internal/program/ibiscli/status.go
+++ b/internal/program/ibiscli/status.go
@@ -11,7 +11,8 @@
 )
 
 type statusCommand struct {
-	JSON bool `arg:"--json" help:"write the status as JSON"`
+	JSON  bool   `arg:"--json" help:"write the status as JSON"`
+	Relay string `arg:"--relay" placeholder:"URL" help:"metrics address of a relay's node, which is asked instead"`
 	operatorFlags
 }
 
@@ -22,10 +23,14 @@
 
 func (*statusCommand) examples() string {
 	return `  ibisridge status
-  ibisridge status --node http://10.0.0.7:8082 --json`
+  ibisridge status --node http://10.0.0.7:8082 --json
+  ibisridge status --relay http://10.1.0.38:7380`
 }
 
 func (c *statusCommand) run(ctx context.Context, t Terminal) error {
+	if c.Relay != "" {
+		return c.showRelay(ctx, t)
+	}
 	status, err := c.client().Status(ctx)
 	if err != nil {
 		return operatorError(err)
--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -181,6 +181,13 @@
 	return f.roster.Member(node)
 }
 
+// Down returns the nodes that can't be reached, in order.
+func (f *Front) Down() []ibisid.NodeName {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return ibisset.Sorted(f.down)
+}
+
 // SetDown says whether a node can't be reached; one that can't gets no requests.
 func (f *Front) SetDown(node ibisid.NodeName, down bool) {
 	f.mu.Lock()
--- a/internal/relay/ibiskeep/keeper.go
+++ b/internal/relay/ibiskeep/keeper.go
@@ -148,6 +148,17 @@
 // Owns reports whether the page gives ranges to the own node.
 func (k *Keeper) Owns() bool { return k.ownsAny() }
 
+// Owned returns the number of ranges that the page gives to the own node, and of keys in them.
+func (k *Keeper) Owned() (ranges, keys int) {
+	for _, r := range k.page.Ranges {
+		if r.Owner.Node == k.config.Node {
+			ranges++
+			keys += r.To - r.From + 1
+		}
+	}
+	return ranges, keys
+}
+
 // Page returns the page as it is known, and whether one is.
 func (k *Keeper) Page() (Page, bool) { return k.page, k.pageKnown }
 
--- a/internal/relay/ibismeter/meter.go
+++ b/internal/relay/ibismeter/meter.go
@@ -1,9 +1,11 @@
 package ibismeter
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisstatus"
 )
 
 // maxClasses bounds the classes that are told apart, as thousands of routes may come and go; the rest share one name.
@@ -70,6 +73,27 @@
 	c.latency.Update(held.Seconds())
 }
 
+// Totals returns how callers' requests have ended so far, in order of class, outcome and reason.
+func (m *Meter) Totals() []ibisstatus.Ended {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := []ibisstatus.Ended{}
+	for class, c := range m.classes {
+		for key, counter := range c.ended {
+			out = append(out, ibisstatus.Ended{
+				Class:   class,
+				Outcome: key.outcome,
+				Reason:  key.reason,
+				Count:   counter.Get(),
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b ibisstatus.Ended) int {
+		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Reason, b.Reason))
+	})
+	return out
+}
+
 // class returns the metrics of a class, or of those that share a name; m.mu is held.
 func (m *Meter) class(name *ibisid.ClassName) *classMeter {
 	if c := m.classes[*name]; c != nil {
--- a/internal/relay/ibiswarden/warden.go
+++ b/internal/relay/ibiswarden/warden.go
@@ -144,6 +144,13 @@
 	return w.keeper.Owns()
 }
 
+// Owned returns the number of ranges that the node owns, and of keys in them.
+func (w *Warden) Owned() (ranges, keys int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.keeper.Owned()
+}
+
 // PageVersion returns the version of the page that answers are given from.
 func (w *Warden) PageVersion() uint64 {
 	w.mu.Lock()
