A caller's first attempt is not taken for a returned one

Requests were late on arrival, went behind, and were served late. Ruled out: doors that keep a refused class away (100 ms at most, a gate sees some hundred offers a second), the late queue's order. Change: within 15% of the longest wait a caller is new; below, its age counts from the middle of what callers wait at first.

--- a/internal/measure/ibismodel/caller.go
+++ b/internal/measure/ibismodel/caller.go
@@ -37,13 +37,13 @@
 		key:       w.drawKey(),
 		node:      n,
 		first:     w.Now(),
-		deadline:  w.Now().Add(class.Deadline.Duration),
+		deadline:  w.Now().Add(w.drawPatience(class)),
 		impatient: w.habits.Float64() < w.config.Callers.Impatient,
 	}
 	w.tally.owe(class, c.first)
 	leaves := c.deadline
 	if w.habits.Float64() < w.config.Callers.GiveUp {
-		leaves = c.first.Add(class.Deadline.Duration / 2)
+		leaves = c.first.Add(c.deadline.Sub(c.first) / 2)
 	}
 	c.try()
 	w.At(leaves, func() {
@@ -58,6 +58,11 @@
 	})
 }
 
+// drawPatience draws how long a caller waits in all.
+func (w *world) drawPatience(class *Class) time.Duration {
+	return time.Duration(float64(class.Deadline.Duration) * (1 - w.config.Callers.DeadlineSpread*w.habits.Float64()))
+}
+
 // try sends the caller's next attempt.
 func (c *caller) try() {
 	w := c.world
--- a/internal/measure/ibismodel/check.go
+++ b/internal/measure/ibismodel/check.go
@@ -53,6 +53,7 @@
 	k.share("keys.hotWidth", c.Keys.HotWidth)
 	k.share("callers.impatient", c.Callers.Impatient)
 	k.share("callers.giveUp", c.Callers.GiveUp)
+	k.share("callers.deadlineSpread", c.Callers.DeadlineSpread)
 	for i, f := range c.Faults {
 		f.check(&k, fmt.Sprintf("faults[%d]", i), services, c.Fleet.Regions)
 	}
--- a/internal/measure/ibismodel/config.go
+++ b/internal/measure/ibismodel/config.go
@@ -136,6 +136,8 @@
 type Callers struct {
 	// Impatient is the share of callers that don't heed a time to come back and ask again at once.
 	Impatient float64 `json:"impatient,omitempty"`
+	// DeadlineSpread is the greatest share by which a caller's deadline is shorter than its class's.
+	DeadlineSpread float64 `json:"deadlineSpread,omitempty"`
 	// GiveUp is the share of callers that leave after half of their deadline.
 	GiveUp float64 `json:"giveUp,omitempty"`
 }
--- a/internal/relay/ibispursue/budget.go
+++ b/internal/relay/ibispursue/budget.go
@@ -17,6 +17,9 @@
 	DefaultReturn = 300 * time.Millisecond
 	// returnSpread is the share by which times to come back are spread, so that callers don't return together.
 	returnSpread = 0.3
+	// freshShare of the longest wait of a class is what callers wait at least on their first attempt: the users' callers differ
+	// by a seventh.
+	freshShare = 0.85
 )
 
 // Budget bounds how often one node sends requests to a second backend server: a share of the requests, and a few at once.
@@ -49,7 +52,7 @@
 }
 
 // Ages tells for how long callers have been trying: what one still waits falls short of what callers of its class wait on
-// their first attempt, which is the longest wait that was seen.
+// their first attempt, which lies between freshShare of the longest wait seen and all of it.
 type Ages struct {
 	longest map[ibisid.ClassName]time.Duration
 }
@@ -69,7 +72,11 @@
 	if patience > a.longest[class] {
 		a.longest[class] = patience
 	}
-	return a.longest[class] - patience
+	longest := a.longest[class]
+	if float64(patience) >= freshShare*float64(longest) {
+		return 0
+	}
+	return time.Duration((1+freshShare)/2*float64(longest)) - patience
 }
 
 // Keep forgets all classes but those given.
