--- a/internal/relay/ibisfront/front_test.go
+++ b/internal/relay/ibisfront/front_test.go
@@ -233,7 +233,7 @@
 			return p.orders[len(p.orders)-1]
 		}
 		Expect(ask(5 * time.Second).Target).To(Equal(clock.Now().Add(800 * time.Millisecond)))
-		Expect(ask(4500 * time.Millisecond).Target).To(Equal(clock.Now().Add(800*time.Millisecond)), "callers differ by a seventh in what they wait at first")
+		Expect(ask(4500*time.Millisecond).Target).To(Equal(clock.Now().Add(800*time.Millisecond)), "callers differ by a seventh in what they wait at first")
 		Expect(ask(4200 * time.Millisecond).Target).To(Equal(clock.Now().Add(375 * time.Millisecond)))
 	})
 
