The wait behind queues of the same urgency is reckoned from the slots that they have

Cause, found by the test of the urgent classes' slots: what waits ahead in the same class's queue was reckoned at all slots of the gate, so a time to come back was told too short (240 ms where three turns of one slot take 600 ms), and late requests were let in.

--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -109,7 +109,7 @@
 		if other == q {
 			break
 		}
-		wait += float64(other.length) * g.hold(other.name).mean.Value() / float64(limit)
+		wait += float64(other.length) * g.hold(other.name).mean.Value() / float64(max(1, limit-g.urgentSlots(other)))
 	}
 	return max(time.Duration(wait), g.cold.wait(ahead+1+g.aheadOfClass(q), now))
 }
