--- a/internal/program/ibiscli/cli.go
+++ b/internal/program/ibiscli/cli.go
@@ -32,6 +32,7 @@
 	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell from logs what became of a request"`
 	Measure    *measureCommand    `arg:"subcommand:measure" help:"measure the decisions under load and faults"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"run a model of a whole system under several policies"`
+	Load       *loadCommand       `arg:"subcommand:load" help:"send requests at a fixed rate and measure them"`
 	Matrix     *matrixCommand     `arg:"subcommand:matrix" help:"run every fault at every step"`
 	Standin    *standinCommand    `arg:"subcommand:standin" help:"run a stand-in for the platform's store"`
 	Backend    *backendCommand    `arg:"subcommand:backend" help:"run a stand-in backend server"`
