--- a/internal/measure/ibisexperiment/report.go
+++ b/internal/measure/ibisexperiment/report.go
@@ -48,28 +48,25 @@
 	return longest
 }
 
-func refusals(r ibismodel.Result) int {
+// total sums a count over the classes.
+func total(r ibismodel.Result, count func(ibismodel.ClassResult) int) int {
 	n := 0
 	for _, c := range r.Classes {
-		n += c.Refusals
+		n += count(c)
 	}
 	return n
 }
 
-func lateRefusals(r ibismodel.Result) int {
-	n := 0
-	for _, c := range r.Classes {
-		n += c.LateRefusals
-	}
-	return n
+func asked(r ibismodel.Result) int {
+	return total(r, func(c ibismodel.ClassResult) int { return c.Asked })
 }
 
-func asked(r ibismodel.Result) int {
-	n := 0
-	for _, c := range r.Classes {
-		n += c.Asked
-	}
-	return n
+func refusals(r ibismodel.Result) int {
+	return total(r, func(c ibismodel.ClassResult) int { return c.Refusals })
+}
+
+func lateRefusals(r ibismodel.Result) int {
+	return total(r, func(c ibismodel.ClassResult) int { return c.LateRefusals })
 }
 
 // ClassHeader names the columns of ClassCells.
