--- a/internal/relay/ibiskeep/world_test.go
+++ b/internal/relay/ibiskeep/world_test.go
@@ -41,6 +41,12 @@
 	lossy float64
 	// lateBeats is the share of heartbeats that are up to three seconds late on their way.
 	lateBeats float64
+	// out is the failure domains that are taken out.
+	out ibisset.Set[ibisid.DomainName]
+	// intercept decides what becomes of a commit; nil where all are applied.
+	intercept func(n *node) fate
+	// mutate changes each commit on its way, nil for none.
+	mutate func(c *ibisstore.Commit)
 }
 
 // node is a node with the backend server beside it.
@@ -53,6 +59,7 @@
 	frozen time.Time
 	roster time.Time
 	server *backend
+	domain ibisid.DomainName
 }
 
 // backend is a backend server as it behaves: it holds what it was granted until that runs out on its own clock.
@@ -101,6 +108,7 @@
 		tokens: make(map[int]ibisid.Token),
 
 		lateBeats: 0.03,
+		out:       make(ibisset.Set[ibisid.DomainName]),
 	}
 	for i := range nodes {
 		n := &node{
@@ -159,7 +167,7 @@
 		w.after(ibiskeep.TickPeriod, tick)
 	}
 	w.after(0, func() {
-		w.update(n, ibiskeep.PolicyEvent{Sharded: true, Out: make(ibisset.Set[ibisid.DomainName])})
+		w.update(n, ibiskeep.PolicyEvent{Sharded: true, Out: w.out})
 		tick()
 	})
 }
@@ -185,6 +193,7 @@
 		out = append(out, ibisroster.Member{
 			Node:    n.name,
 			Address: "127.0.0.1:1",
+			Place:   ibisid.Place{Domain: n.domain},
 			Server:  ibisroster.Server{Life: n.server.life, Service: service, Slots: 8, State: state},
 		})
 	}
@@ -374,6 +383,9 @@
 }
 
 func (w *world) commit(n *node, boot int, e ibiskeep.CommitEffect) {
+	if w.mutate != nil {
+		w.mutate(&e.Commit)
+	}
 	if n.cut {
 		outcome := ibisstore.OutcomeRefused
 		if w.random.Float64() < 0.5 {
@@ -393,7 +405,27 @@
 		})
 		return
 	}
-	w.back(n, boot, ibiskeep.CommitEvent{ID: e.ID, Result: w.apply(e.Commit)})
+	unknown := func() {
+		w.after(time.Second, func() {
+			w.back(n, boot, ibiskeep.CommitEvent{ID: e.ID, Result: ibisstore.Result{Outcome: ibisstore.OutcomeUnknown}})
+		})
+	}
+	become := fateApplied
+	if w.intercept != nil {
+		become = w.intercept(n)
+	}
+	switch become {
+	case fateUnsent:
+		w.back(n, boot, ibiskeep.CommitEvent{ID: e.ID, Result: ibisstore.Result{Outcome: ibisstore.OutcomeRefused}})
+	case fateAnswerLost:
+		w.apply(e.Commit)
+		unknown()
+	case fateLate:
+		w.after(3*time.Second, func() { w.apply(e.Commit) })
+		unknown()
+	case fateApplied:
+		w.back(n, boot, ibiskeep.CommitEvent{ID: e.ID, Result: w.apply(e.Commit)})
+	}
 }
 
 func (w *world) apply(c ibisstore.Commit) ibisstore.Result {
