--- a/internal/relay/ibisaccept/connections.go
+++ b/internal/relay/ibisaccept/connections.go
@@ -1,6 +1,7 @@
 package ibisaccept
 
 import (
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -26,10 +27,10 @@
 	Idle time.Duration
 }
 
-// Connections keeps the connections of one listener by a key of the caller's choice; it is safe for concurrent use.
-type Connections[K comparable] struct {
+// Connections keeps the connections of one listener; it is safe for concurrent use.
+type Connections struct {
 	mu    sync.Mutex
-	known map[K]waiting
+	known map[net.Conn]waiting
 }
 
 type waiting struct {
@@ -38,14 +39,14 @@
 }
 
 // New returns a set without connections.
-func New[K comparable]() *Connections[K] {
-	return &Connections[K]{
-		known: make(map[K]waiting),
+func New() *Connections {
+	return &Connections{
+		known: make(map[net.Conn]waiting),
 	}
 }
 
 // Turn follows what the HTTP server says of a connection.
-func (c *Connections[K]) Turn(key K, state http.ConnState, now time.Time) {
+func (c *Connections) Turn(conn net.Conn, state http.ConnState, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := waiting{
@@ -57,29 +58,29 @@
 	case http.StateActive:
 		w.phase = phaseHeader
 	case http.StateHijacked, http.StateClosed:
-		delete(c.known, key)
+		delete(c.known, conn)
 		return
 	}
-	c.known[key] = w
+	c.known[conn] = w
 }
 
 // Begin takes in that the headers of a connection's request are complete.
-func (c *Connections[K]) Begin(key K) {
+func (c *Connections) Begin(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.known[key]; ok {
-		c.known[key] = waiting{
+	if _, ok := c.known[conn]; ok {
+		c.known[conn] = waiting{
 			phase: phaseServing,
 		}
 	}
 }
 
 // Overdue returns the connections that have waited for longer than the limits allow, in no particular order.
-func (c *Connections[K]) Overdue(limits Limits, now time.Time) []K {
+func (c *Connections) Overdue(limits Limits, now time.Time) []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []K
-	for key, w := range c.known {
+	var out []net.Conn
+	for conn, w := range c.known {
 		limit := limits.Idle
 		switch w.phase {
 		case phaseHeader:
@@ -89,7 +90,7 @@
 		case phaseIdle:
 		}
 		if limit > 0 && now.Sub(w.since) > limit {
-			out = append(out, key)
+			out = append(out, conn)
 		}
 	}
 	return out
--- a/internal/relay/ibisaccept/connections_test.go
+++ b/internal/relay/ibisaccept/connections_test.go
@@ -1,6 +1,7 @@
 package ibisaccept_test
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -19,37 +20,47 @@
 var _ = Describe("Connections", func() {
 	var (
 		start  = time.Unix(1000, 0)
-		conns  *ibisaccept.Connections[string]
+		conns  *ibisaccept.Connections
 		limits = ibisaccept.Limits{Header: 3 * time.Second, Idle: 15 * time.Second}
 	)
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 
-	BeforeEach(func() { conns = ibisaccept.New[string]() })
+	BeforeEach(func() { conns = ibisaccept.New() })
+
+	connection := func() net.Conn {
+		conn, other := net.Pipe()
+		DeferCleanup(conn.Close)
+		DeferCleanup(other.Close)
+		return conn
+	}
 
 	It("ends what is idle or slow with its headers for too long, and never what runs a request", func() {
-		conns.Turn("idle", http.StateNew, at(0))
-		conns.Turn("slow", http.StateNew, at(0))
-		conns.Turn("slow", http.StateActive, at(1))
-		conns.Turn("serving", http.StateActive, at(0))
-		conns.Begin("serving")
+		idle, slow, serving := connection(), connection(), connection()
+		conns.Turn(idle, http.StateNew, at(0))
+		conns.Turn(slow, http.StateNew, at(0))
+		conns.Turn(slow, http.StateActive, at(1))
+		conns.Turn(serving, http.StateActive, at(0))
+		conns.Begin(serving)
 		Expect(conns.Overdue(limits, at(4))).To(BeEmpty())
-		Expect(conns.Overdue(limits, at(5))).To(ConsistOf("slow"))
-		Expect(conns.Overdue(limits, at(100))).To(ConsistOf("slow", "idle"))
-		conns.Turn("serving", http.StateIdle, at(100))
-		Expect(conns.Overdue(limits, at(115))).To(ConsistOf("slow", "idle"))
-		Expect(conns.Overdue(limits, at(116))).To(ConsistOf("slow", "idle", "serving"))
+		Expect(conns.Overdue(limits, at(5))).To(ConsistOf(slow))
+		Expect(conns.Overdue(limits, at(100))).To(ConsistOf(slow, idle))
+		conns.Turn(serving, http.StateIdle, at(100))
+		Expect(conns.Overdue(limits, at(115))).To(ConsistOf(slow, idle))
+		Expect(conns.Overdue(limits, at(116))).To(ConsistOf(slow, idle, serving))
 	})
 
 	It("follows a change of the limits, and knows no limit before the first configuration", func() {
-		conns.Turn("a", http.StateNew, at(0))
+		a := connection()
+		conns.Turn(a, http.StateNew, at(0))
 		Expect(conns.Overdue(ibisaccept.Limits{}, at(1000))).To(BeEmpty())
-		Expect(conns.Overdue(ibisaccept.Limits{Idle: time.Second}, at(2))).To(ConsistOf("a"))
+		Expect(conns.Overdue(ibisaccept.Limits{Idle: time.Second}, at(2))).To(ConsistOf(a))
 	})
 
 	It("forgets connections that are gone", func() {
-		conns.Turn("a", http.StateNew, at(0))
-		conns.Turn("a", http.StateClosed, at(1))
-		conns.Begin("a")
+		a := connection()
+		conns.Turn(a, http.StateNew, at(0))
+		conns.Turn(a, http.StateClosed, at(1))
+		conns.Begin(a)
 		Expect(conns.Overdue(limits, at(100))).To(BeEmpty())
 	})
 })
