Read once more: one copy where the change had written a second

- What is a refusal for load stood in the front and again in the model: ibisadmit.Reason.ForLoad.
- The check of a commit stood in platform.Table as in the table in memory: ibisplatform.Commit.Check; the store's limits stay in platform.
- Seven pauses that end with their context: ibistimer.Sleep.
Test: "A keeper tells of a page that can't be read".
- The gate walked its queues three times for one estimate: once.

--- a/internal/measure/ibismodel/request.go
+++ b/internal/measure/ibismodel/request.go
@@ -151,10 +151,9 @@
 			}
 		case ibisadmit.RefuseEffect:
 			if a := n.take(e.ID); a != nil {
-				full := e.Reason == ibisadmit.ReasonTarget || e.Reason == ibisadmit.ReasonQueueFull || e.Reason == ibisadmit.ReasonDeadline
 				w.answer(a, ibispursue.Try{
 					Outcome: ibisid.OutcomeNotRun,
-					Full:    full,
+					Full:    e.Reason.ForLoad(),
 				}, ending{
 					outcome:    ibisid.OutcomeNotRun,
 					retryAfter: e.RetryAfter,
--- a/internal/measure/ibismodel/world.go
+++ b/internal/measure/ibismodel/world.go
@@ -164,7 +164,8 @@
 
 // arriveNext plans the next request of a class; the rate is that of all regions together.
 func (w *world) arriveNext(class *Class) {
-	gap := w.arrivals.ExpFloat64() / class.PerSecond / w.greatestFactor(class)
+	most := w.greatestFactor(class)
+	gap := w.arrivals.ExpFloat64() / class.PerSecond / most
 	w.After(time.Duration(gap*float64(time.Second)), func() {
 		if w.Now().After(w.until) {
 			return
@@ -172,7 +173,7 @@
 		region := w.arrivals.IntN(len(w.byRegion))
 		nodes := w.byRegion[region]
 		// Arrivals are drawn at the greatest rate and thinned to the rate of the moment.
-		drawn := w.arrivals.Float64() * w.greatestFactor(class)
+		drawn := w.arrivals.Float64() * most
 		if len(nodes) > 0 {
 			n := nodes[w.arrivals.IntN(len(nodes))]
 			if drawn < w.factor(class, region) && n.reachable {
--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisrowstore"
 )
 
@@ -19,7 +20,7 @@
 func (s *soak) injectAll(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.inject(ctx)
-		s.sleep(ctx, time.Duration(s.random.Int64N(int64(longestGap))))
+		ibistimer.Sleep(ctx, time.Duration(s.random.Int64N(int64(longestGap))))
 	}
 	s.injected.Wait()
 }
@@ -29,15 +30,6 @@
 	return 300*time.Millisecond + time.Duration(s.random.Int64N(int64(longestFault)))
 }
 
-func (s *soak) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // note writes a fault down and remembers whom it may hold up.
 func (s *soak) note(n *node, lasts time.Duration, format string, args ...any) {
 	s.faults = append(s.faults, fmt.Sprintf("%6.2f s  ", time.Since(s.began).Seconds())+fmt.Sprintf(format, args...))
@@ -134,7 +126,7 @@
 func (s *soak) during(ctx context.Context, span time.Duration, begin, end func()) {
 	begin()
 	s.injected.Go(func() {
-		s.sleep(ctx, span)
+		ibistimer.Sleep(ctx, span)
 		end()
 	})
 }
--- a/internal/node/ibisdocument/accept.go
+++ b/internal/node/ibisdocument/accept.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/document/ibisforce"
 )
 
@@ -36,7 +37,7 @@
 			Lagging:    acceptance.Lagging(),
 		}
 		done := len(reach.NotReached) == 0 && (!everywhere || len(reach.Lagging) == 0)
-		if done || !sleep(ctx, confirmPause) {
+		if done || !ibistimer.Sleep(ctx, confirmPause) {
 			return reach
 		}
 	}
@@ -88,13 +89,3 @@
 }
 
 // sleep reports false where the context ends before the pause is over.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/peer/ibisplatform/table.go
+++ b/internal/peer/ibisplatform/table.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 )
 
 // ErrUnavailable reports that the platform did not answer; a commit that returns it may have taken effect.
@@ -54,6 +57,21 @@
 	Writes []Write
 }
 
+// Check fails with ErrBadCommit where no table takes the commit: without an id, or with two writes of one row.
+func (c Commit) Check() error {
+	if c.ID == "" {
+		return fmt.Errorf("%w: commit without an id", ErrBadCommit)
+	}
+	seen := ibisset.Of[string]()
+	for _, write := range c.Writes {
+		if write.Key == "" || seen.Has(write.Key) {
+			return fmt.Errorf("%w: commit %s writes key %q twice or without a name", ErrBadCommit, c.ID, write.Key)
+		}
+		seen.Add(write.Key)
+	}
+	return nil
+}
+
 // CommitStatus is how a commit ended.
 type CommitStatus string
 
--- a/internal/relay/ibisfollow/follower.go
+++ b/internal/relay/ibisfollow/follower.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
 
@@ -116,16 +117,7 @@
 func (f *Follower) pause(ctx context.Context, failures int) {
 	d := min(longestPause, firstPause<<min(failures-1, 4))
 	d = d/2 + time.Duration(rand.Int64N(int64(d)))
-	sleep(ctx, d)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	ibistimer.Sleep(ctx, d)
 }
 
 func (f *Follower) readWhole(ctx context.Context) (uint64, error) {
@@ -171,7 +163,7 @@
 	}
 	if len(changes.Rows) > 0 {
 		f.options.Apply(changes.Rows, false, changes.Version)
-		sleep(ctx, f.options.Gather)
+		ibistimer.Sleep(ctx, f.options.Gather)
 	}
 	return max(position, changes.Version), nil
 }
--- a/internal/relay/ibisfront/pursue.go
+++ b/internal/relay/ibisfront/pursue.go
@@ -60,7 +60,7 @@
 	return pursuit.After(ibispursue.Try{
 		Outcome:    last.Outcome,
 		Arrived:    last.Arrived,
-		Full:       forLoad(last.Reason),
+		Full:       ibisadmit.Reason(last.Reason).ForLoad(),
 		Redirected: last.Owner != "",
 		Gone:       ctx.Err() != nil,
 	}, f.retries, f.clock.Now())
@@ -73,15 +73,6 @@
 	return f.pages[service].version
 }
 
-// forLoad reports whether a gate refused because of the load on it.
-func forLoad(r ibisorder.Reason) bool {
-	switch r {
-	case ibisorder.Reason(ibisadmit.ReasonTarget), ibisorder.Reason(ibisadmit.ReasonQueueFull), ibisorder.Reason(ibisadmit.ReasonDeadline):
-		return true
-	}
-	return false
-}
-
 // comeBack spreads a time to come back.
 func (f *Front) comeBack(after time.Duration) time.Duration {
 	f.mu.Lock()
--- a/internal/relay/ibisguard/rules.go
+++ b/internal/relay/ibisguard/rules.go
@@ -49,12 +49,7 @@
 	if g.gate != nil {
 		g.apply(ibisadmit.DrainEvent{}, now)
 	}
-	g.gate = ibisadmit.New(g.rules.gate(g.server.Slots), now)
-}
-
-// gate returns how the gate of a backend server with so many slots is set up.
-func (r Rules) gate(slots int) ibisadmit.Config {
-	return GateConfig(slots, r.Connections, r.Sharded, r.Policy)
+	g.gate = ibisadmit.New(GateConfig(g.server.Slots, g.rules.Connections, g.rules.Sharded, g.rules.Policy), now)
 }
 
 // GateConfig returns how the relay sets the gate of a backend server up.
--- a/internal/relay/ibiskeep/event.go
+++ b/internal/relay/ibiskeep/event.go
@@ -139,6 +139,14 @@
 	Leases bool
 }
 
+// UnreadableEffect tells of a page that can't be read, so that the one known before stays.
+type UnreadableEffect struct {
+	// Version is the version of its row.
+	Version uint64
+	// Err says what is wrong with it.
+	Err error
+}
+
 // Purpose says what a commit is for, for the logs.
 type Purpose string
 
@@ -165,6 +173,7 @@
 	Commit ibisstore.Commit
 }
 
-func (GrantEffect) keeperEffect()  {}
-func (ReadEffect) keeperEffect()   {}
-func (CommitEffect) keeperEffect() {}
+func (GrantEffect) keeperEffect()      {}
+func (ReadEffect) keeperEffect()       {}
+func (UnreadableEffect) keeperEffect() {}
+func (CommitEffect) keeperEffect()     {}
--- a/internal/relay/ibiskeep/grant_test.go
+++ b/internal/relay/ibiskeep/grant_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/relay/ibiskeep"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
 
 // Soak seed 117: a backend server that still works on a range which it was asked to release reports it beside its part, and
@@ -35,3 +36,19 @@
 	}
 	Expect(k.GrantCount()).To(Equal(2))
 })
+
+var _ = It("A keeper tells of a page that can't be read, and keeps the old one", func() {
+	k := ibiskeep.New(ibiskeep.Config{Node: "n1", Service: "floor"})
+	effects := k.Update(ibiskeep.PageEvent{Row: ibisstore.Row{
+		Key:     ibisstore.Key{Table: ibiskeep.TablePages, Part: "floor", Name: "page"},
+		Value:   []byte("{"),
+		Version: 7,
+	}}, time.Unix(1_000_000, 0))
+	Expect(effects).To(ContainElement(And(
+		BeAssignableToTypeOf(ibiskeep.UnreadableEffect{}),
+		HaveField("Version", BeEquivalentTo(7)),
+		HaveField("Err", HaveOccurred()),
+	)))
+	_, known := k.Page()
+	Expect(known).To(BeFalse())
+})
--- a/internal/relay/ibiskeep/keeper.go
+++ b/internal/relay/ibiskeep/keeper.go
@@ -146,14 +146,21 @@
 }
 
 // Owns reports whether the page gives ranges to the own node.
-func (k *Keeper) Owns() bool { return k.ownsAny() }
+func (k *Keeper) Owns() bool {
+	for _, r := range k.page.Ranges {
+		if r.Owner.Node == k.config.Node {
+			return true
+		}
+	}
+	return false
+}
 
 // Owned returns the number of ranges that the page gives to the own node, and of keys in them.
 func (k *Keeper) Owned() (ranges, keys int) {
 	for _, r := range k.page.Ranges {
 		if r.Owner.Node == k.config.Node {
 			ranges++
-			keys += r.To - r.From + 1
+			keys += r.Width()
 		}
 	}
 	return ranges, keys
@@ -183,13 +190,17 @@
 	}
 }
 
-// takePage takes a row of the page in if it is newer; one that can't be read leaves the page as it was.
+// takePage takes a row of the page in if it is newer; one that can't be read leaves the page as it was, and is told of.
 func (k *Keeper) takePage(row ibisstore.Row) {
 	if row.Key.Name != pageName || row.Removed || row.Version <= k.pageRow {
 		return
 	}
 	page, err := DecodePage(row.Value)
 	if err != nil {
+		k.emit(UnreadableEffect{
+			Version: row.Version,
+			Err:     err,
+		})
 		return
 	}
 	k.page = page
--- a/internal/relay/ibiskeep/lease.go
+++ b/internal/relay/ibiskeep/lease.go
@@ -90,16 +90,7 @@
 	if s.life.IsZero() {
 		return false
 	}
-	return !s.ended || k.ownsAny() || now.Sub(s.lastBeat) < k.config.LeaseTerm
-}
-
-func (k *Keeper) ownsAny() bool {
-	for _, r := range k.page.Ranges {
-		if r.Owner.Node == k.config.Node {
-			return true
-		}
-	}
-	return false
+	return !s.ended || k.Owns() || now.Sub(s.lastBeat) < k.config.LeaseTerm
 }
 
 func (k *Keeper) planRenewal(now time.Time) {
--- a/internal/relay/ibisreach/reach.go
+++ b/internal/relay/ibisreach/reach.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibishop"
 	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
@@ -104,12 +105,7 @@
 			r.log.Info("node can be reached again", zap.String("peer", string(node)), zap.Duration("after", time.Since(began)))
 			break
 		}
-		t := time.NewTimer(pause)
-		select {
-		case <-r.done.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		ibistimer.Sleep(r.done, pause)
 		pause = min(longestProbe, pause*2)
 	}
 	r.mu.Lock()
--- a/internal/relay/ibiswarden/registrar.go
+++ b/internal/relay/ibiswarden/registrar.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibiskeep"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
@@ -96,12 +97,7 @@
 		case <-r.wake:
 		}
 		for ctx.Err() == nil && !r.step(ctx) {
-			t := time.NewTimer(registerRetry)
-			select {
-			case <-ctx.Done():
-			case <-t.C:
-			}
-			t.Stop()
+			ibistimer.Sleep(ctx, registerRetry)
 		}
 	}
 }
--- a/internal/relay/ibiswarden/warden.go
+++ b/internal/relay/ibiswarden/warden.go
@@ -78,6 +78,8 @@
 			go w.commit(e)
 		case ibiskeep.ReadEffect:
 			go w.read(e)
+		case ibiskeep.UnreadableEffect:
+			w.log.Warn("page can't be read, the old one stays", zap.String("service", string(w.service)), zap.Uint64("version", e.Version), zap.Error(e.Err))
 		}
 	}
 	return grant
--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -100,10 +100,7 @@
 // estimateWait returns how long until a request of the class with so many of its class ahead gets a slot.
 func (g *Gate) estimateWait(q *classQueue, ahead int, now time.Time) time.Duration {
 	limit := g.limit.bound(now)
-	if ahead == 0 && g.hasRoom(q, now) && g.aheadOfClass(q) == 0 {
-		return 0
-	}
-	wait := 0.0
+	wait, waiting := 0.0, ahead
 	// urgent is how many slots requests of more urgent classes hold, which others of them take over as they end; same is what
 	// those hold that are as urgent as the queue that the walk has come to.
 	urgent, same, priority := 0, 0, 0
@@ -117,22 +114,15 @@
 			wait += float64(ahead+1) * g.hold(q.name).mean.Value() / float64(slots)
 			break
 		}
+		waiting += other.length
 		if other.length > 0 {
 			wait += float64(other.length) * g.hold(other.name).mean.Value() / float64(max(1, limit-urgent))
 		}
 	}
-	return max(time.Duration(wait), g.cold.wait(ahead+1+g.aheadOfClass(q), now))
-}
-
-func (g *Gate) aheadOfClass(q *classQueue) int {
-	n := 0
-	for _, other := range g.queues {
-		if other == q {
-			break
-		}
-		n += other.length
+	if waiting == 0 && g.hasRoom(q, now) {
+		return 0
 	}
-	return n
+	return max(time.Duration(wait), g.cold.wait(waiting+1, now))
 }
 
 func (g *Gate) refuse(id RequestID, reason Reason, retryAfter time.Duration) {
--- a/internal/request/ibisadmit/effect.go
+++ b/internal/request/ibisadmit/effect.go
@@ -16,6 +16,11 @@
 // Reason says why a request was refused.
 type Reason string
 
+// ForLoad reports whether the load on the gate was the reason, as it will be at other gates of the service.
+func (r Reason) ForLoad() bool {
+	return r == ReasonTarget || r == ReasonQueueFull || r == ReasonDeadline
+}
+
 const (
 	// ReasonRate means that the tenant is above its rate.
 	ReasonRate Reason = "rate"
--- a/internal/standin/ibisrowstore/handler.go
+++ b/internal/standin/ibisrowstore/handler.go
@@ -1,7 +1,6 @@
 package ibisrowstore
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -11,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 )
 
 const (
@@ -67,7 +68,7 @@
 	commits := r.URL.Path == pathTransaction
 	f := s.faults.draw(commits || r.Method == http.MethodPut || r.Method == http.MethodDelete, commits)
 	if f.delay > 0 {
-		wait(r.Context(), f.delay)
+		ibistimer.Sleep(r.Context(), f.delay)
 	}
 	switch f.down {
 	case DownSilent:
@@ -128,15 +129,6 @@
 	_ = conn.Close()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // rowsAnswer answers calls about rows.
 type rowsAnswer struct {
 	Rows    []row  `json:"rows"`
--- a/internal/standin/ibisstore/table.go
+++ b/internal/standin/ibisstore/table.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"slices"
 	"strings"
 
-	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/peer/ibisplatform"
 )
 
@@ -41,7 +39,7 @@
 
 // Commit applies the writes if every condition holds; it fails with ErrUnavailable under a fault, and may then have taken effect.
 func (s *Store) Commit(ctx context.Context, commit ibisplatform.Commit) (ibisplatform.CommitResult, error) {
-	if err := checkCommit(commit); err != nil {
+	if err := commit.Check(); err != nil {
 		return ibisplatform.CommitResult{}, err
 	}
 	lost, err := s.begin(ctx, true)
@@ -89,20 +87,6 @@
 	}
 }
 
-func checkCommit(commit ibisplatform.Commit) error {
-	if commit.ID == "" {
-		return fmt.Errorf("%w: commit without an id", ibisplatform.ErrBadCommit)
-	}
-	seen := ibisset.Of[string]()
-	for _, write := range commit.Writes {
-		if write.Key == "" || seen.Has(write.Key) {
-			return fmt.Errorf("%w: commit %s writes key %q twice or without a name", ibisplatform.ErrBadCommit, commit.ID, write.Key)
-		}
-		seen.Add(write.Key)
-	}
-	return nil
-}
-
 func cloneRow(row ibisplatform.Row) ibisplatform.Row {
 	row.Value = bytes.Clone(row.Value)
 	return row
