--- a/internal/relay/ibishop/hop_test.go
+++ b/internal/relay/ibishop/hop_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
@@ -45,15 +47,40 @@
 
 func (broken) Close() error { return nil }
 
+// pacer notes what it is asked for and lets all of it go, or fails.
+type pacer struct {
+	mu    sync.Mutex
+	asked []int
+	err   error
+}
+
+func (p *pacer) WaitN(_ context.Context, n int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked = append(p.asked, n)
+	return p.err
+}
+
 var _ = Describe("A hop", func() {
 	clock := ibistimer.New()
 
-	hop := func(f target) (*ibishop.Client, string) {
-		server := httptest.NewServer(ibishop.Handler(f, clock, zap.NewNop()))
+	pacedHop := func(f target, p ibishop.Pacer) (*ibishop.Client, string) {
+		server := httptest.NewServer(ibishop.Handler(f, p, clock, zap.NewNop()))
 		DeferCleanup(server.Close)
 		return ibishop.NewClient(clock), strings.TrimPrefix(server.URL, "http://")
 	}
 
+	hop := func(f target) (*ibishop.Client, string) { return pacedHop(f, rate.NewLimiter(rate.Inf, 0)) }
+
+	answering := func(length int) target {
+		return func(context.Context, ibisorder.Order) ibisorder.Answer {
+			return ibisorder.Answer{
+				Outcome: ibisid.OutcomeDone, Status: http.StatusOK, Length: int64(length),
+				Body: io.NopCloser(bytes.NewReader(make([]byte, length))),
+			}
+		}
+	}
+
 	order := func() ibisorder.Order {
 		return ibisorder.Order{
 			ID: "r1", Method: http.MethodPost, URI: "/a//b?c=%2f", Host: "mats.example",
@@ -120,6 +147,35 @@
 		}
 	})
 
+	It("lets a long answer out no faster than its pacer does, and a short one at once", func() {
+		const long = 100_000
+		p := &pacer{}
+		client, address := pacedHop(answering(long), p)
+		answer := client.Send(context.Background(), address, order())
+		Expect(io.ReadAll(answer.Body)).To(HaveLen(long))
+		sum := 0
+		for _, n := range p.asked {
+			Expect(n).To(BeNumerically("<=", ibishop.CopyBytes))
+			sum += n
+		}
+		Expect(sum).To(Equal(long))
+
+		p = &pacer{}
+		client, address = pacedHop(answering(600), p)
+		answer = client.Send(context.Background(), address, order())
+		Expect(io.ReadAll(answer.Body)).To(HaveLen(600))
+		Expect(p.asked).To(BeEmpty())
+	})
+
+	It("breaks an answer off whose caller left while it waited for the link", func() {
+		client, address := pacedHop(answering(100_000), &pacer{err: context.Canceled})
+		answer := client.Send(context.Background(), address, order())
+		if answer.Outcome == ibisid.OutcomeDone {
+			_, err := io.ReadAll(answer.Body)
+			Expect(err).To(HaveOccurred())
+		}
+	})
+
 	It("ends the order's context when the caller leaves, and leaves open whether it ran", func() {
 		ended := make(chan struct{})
 		client, address := hop(func(ctx context.Context, o ibisorder.Order) ibisorder.Answer {
--- a/internal/relay/ibishop/server.go
+++ b/internal/relay/ibishop/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -14,8 +15,8 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
 )
 
-// copyBytes is the buffer of an answer on its way through.
-const copyBytes = 16 << 10
+// CopyBytes is the buffer of an answer on its way through.
+const CopyBytes = 16 << 10
 
 // Target runs orders on the backend server of the own instance.
 type Target interface {
@@ -23,8 +24,15 @@
 	Send(ctx context.Context, order ibisorder.Order) ibisorder.Answer
 }
 
+// Pacer spaces the bytes of long answers, so that short ones and new connections don't queue behind them on the
+// instance's link.
+type Pacer interface {
+	// WaitN waits until so many bytes may go, CopyBytes at most; it fails when the context ends first.
+	WaitN(ctx context.Context, n int) error
+}
+
 // Handler returns the handler of the port at which other nodes send orders.
-func Handler(target Target, clock ibistimer.Service, log *zap.Logger) http.Handler {
+func Handler(target Target, pacer Pacer, clock ibistimer.Service, log *zap.Logger) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		order, err := decodeOrder(r, clock.Now())
 		if err != nil {
@@ -40,10 +48,36 @@
 			return
 		}
 		w.Header()[headerAnswer] = []string{encodeAnswer(answer)}
+		if answer.Length < 0 || answer.Length > CopyBytes {
+			answer.Body = pacedBody{
+				ReadCloser: answer.Body,
+				ctx:        r.Context(),
+				pacer:      pacer,
+			}
+		}
 		WriteAnswer(w, answer, log)
 	})
 }
 
+// pacedBody reads a body no faster than a pacer lets it go out.
+type pacedBody struct {
+	io.ReadCloser
+	ctx   context.Context
+	pacer Pacer
+}
+
+// Read reads the body and waits until what was read may go.
+func (b pacedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p[:min(len(p), CopyBytes)])
+	if n == 0 {
+		return n, err
+	}
+	if wait := b.pacer.WaitN(b.ctx, n); wait != nil {
+		return 0, fmt.Errorf("wait for the link: %w", wait)
+	}
+	return n, err
+}
+
 // WriteAnswer writes a backend server's answer as it came; one that breaks off closes the connection, so that it can't
 // pass for whole.
 func WriteAnswer(w http.ResponseWriter, answer ibisorder.Answer, log *zap.Logger) {
@@ -69,7 +103,7 @@
 // copyBody passes a body on as it comes: what has been read is flushed before the next read can block.
 func copyBody(w http.ResponseWriter, body io.Reader) error {
 	flusher, _ := w.(http.Flusher)
-	buffer := make([]byte, copyBytes)
+	buffer := make([]byte, CopyBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
