One walk over the machine's sockets answers everyone who asks for the source of a connection

Change: a walk answers all questions that came before it; both ends of a connection are compared, since a port may be used towards several. The test asks fifty times at once and counts two walks.

--- a/internal/scenario/ibisscenario/region.go
+++ b/internal/scenario/ibisscenario/region.go
@@ -36,7 +36,7 @@
 
 // passes reports whether a connection may reach a node of the region.
 func (w *world) passes(conn net.Conn, region string) bool {
-	return w.together() || w.allowed(w.sourceOf(conn), region)
+	return w.together() || w.allowed(w.sources.of(conn), region)
 }
 
 // together reports whether no region is cut off, so that it doesn't matter where a connection comes from: to find that
--- a/internal/scenario/ibisscenario/region_test.go
+++ b/internal/scenario/ibisscenario/region_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"os"
+	"runtime"
 	"testing"
 )
 
@@ -32,3 +34,56 @@
 		t.Error("the source was looked up though the region is back")
 	}
 }
+
+// asked returns the number of questions that wait for the next walk.
+func (s *sources) asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiting)
+}
+
+func TestSourcesTellWhichProcessOpenedAConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	const connections = 50
+	accepted := make(chan net.Conn, connections)
+	for range connections {
+		dialed, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = dialed.Close() }()
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		accepted <- conn
+	}
+	walks := 0
+	var s *sources
+	s = &sources{nodes: func() map[string]int {
+		walks++
+		// The first walk waits until all others have asked.
+		for walks == 1 && s.asked() < connections-1 {
+			runtime.Gosched()
+		}
+		return map[string]int{"own": os.Getpid(), "other": 1}
+	}}
+	names := make(chan string, connections)
+	for range connections {
+		conn := <-accepted
+		go func() { names <- s.of(conn) }()
+	}
+	for range connections {
+		if name := <-names; name != "own" {
+			t.Errorf("a connection of this process is taken for one of %q", name)
+		}
+	}
+	if walks != 2 {
+		t.Errorf("%d walks for one question and %d that came meanwhile", walks, connections-1)
+	}
+}
--- a/internal/scenario/ibisscenario/source.go
+++ b/internal/scenario/ibisscenario/source.go
@@ -7,60 +7,115 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 )
 
-// sourceOf returns the name of the node whose process opened a loopback connection, empty where it is none of them. All
-// nodes dial from one address, so that only the system's table of sockets tells them apart (/proc, on Linux).
-func (w *world) sourceOf(conn net.Conn) string {
-	address, ok := conn.RemoteAddr().(*net.TCPAddr)
-	if !ok {
+// sources tells which node's process opened a loopback connection. All nodes dial from one address, so that only the
+// system's table of sockets tells them apart (/proc, on Linux); one walk over it serves everyone who waits for an answer.
+type sources struct {
+	// nodes returns the process ids of the running nodes by name.
+	nodes func() map[string]int
+
+	mu      sync.Mutex
+	walking bool
+	waiting []question
+}
+
+// question asks for the node that holds the dialing end of a connection.
+type question struct {
+	ends string
+	node chan string
+}
+
+// of returns the name of the node that opened the connection, empty where it is none of them.
+func (s *sources) of(conn net.Conn) string {
+	dialing, ok := conn.RemoteAddr().(*net.TCPAddr)
+	if !ok || dialing.IP.To4() == nil {
 		return ""
 	}
-	inode := socketInode(address)
-	if inode == "" {
+	accepting, ok := conn.LocalAddr().(*net.TCPAddr)
+	if !ok || accepting.IP.To4() == nil {
 		return ""
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for name, n := range w.nodes {
-		if n.process != nil && n.running() && holds(n.cmd.Process.Pid, inode) {
-			return name
-		}
+	q := question{
+		ends: tableAddress(dialing) + tableAddress(accepting),
+		node: make(chan string, 1),
 	}
-	return ""
+	s.mu.Lock()
+	s.waiting = append(s.waiting, q)
+	if !s.walking {
+		s.walking = true
+		go s.walk()
+	}
+	s.mu.Unlock()
+	return <-q.node
 }
 
-// socketInode finds the socket that is bound to the address.
-func socketInode(address *net.TCPAddr) string {
-	ip := address.IP.To4()
-	if ip == nil {
-		return ""
+// walk answers questions until none waits; each walk over the sockets begins after the questions that it answers.
+func (s *sources) walk() {
+	for {
+		s.mu.Lock()
+		asked := s.waiting
+		s.waiting = nil
+		s.walking = len(asked) > 0
+		s.mu.Unlock()
+		if len(asked) == 0 {
+			return
+		}
+		inodes := socketInodes()
+		holders := make(map[string]string)
+		for name, pid := range s.nodes() {
+			for _, inode := range held(pid) {
+				holders[inode] = name
+			}
+		}
+		for _, q := range asked {
+			inode, ok := inodes[q.ends]
+			if !ok {
+				q.node <- ""
+				continue
+			}
+			q.node <- holders[inode]
+		}
 	}
+}
+
+// tableAddress returns an address as the table of sockets spells it.
+func tableAddress(a *net.TCPAddr) string {
+	ip := a.IP.To4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
+}
+
+// socketInodes returns the sockets of the machine by their two ends.
+func socketInodes() map[string]string {
+	out := make(map[string]string)
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
-		return ""
+		return out
 	}
 	defer func() { _ = file.Close() }()
-	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], address.Port)
-	const localField, inodeField = 1, 9
+	const localField, remoteField, inodeField = 1, 2, 9
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
-		if len(fields) > inodeField && fields[localField] == want {
-			return fields[inodeField]
+		if len(fields) > inodeField {
+			out[fields[localField]+fields[remoteField]] = fields[inodeField]
 		}
 	}
-	return ""
+	return out
 }
 
-func holds(pid int, inode string) bool {
+// held returns the sockets that a process holds.
+func held(pid int) []string {
 	links, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
 	if err != nil {
-		return false
+		return nil
 	}
+	var out []string
 	for _, link := range links {
-		if target, err := os.Readlink(link); err == nil && target == "socket:["+inode+"]" {
-			return true
+		target, err := os.Readlink(link)
+		if inode, ok := strings.CutPrefix(target, "socket:["); err == nil && ok {
+			out = append(out, strings.TrimSuffix(inode, "]"))
 		}
 	}
-	return false
+	return out
 }
--- a/internal/scenario/ibisscenario/world.go
+++ b/internal/scenario/ibisscenario/world.go
@@ -41,6 +41,7 @@
 	last     *sent
 	pending  map[string]chan *sent
 	keys     map[string]string
+	sources  sources
 }
 
 type platformProcess struct {
@@ -78,6 +79,7 @@
 		pending:  make(map[string]chan *sent),
 		keys:     make(map[string]string),
 	}
+	w.sources.nodes = w.running
 	for range 100 {
 		w.network = byte(2 + rand.IntN(250))
 		claim, err := net.Listen("tcp", w.address(0, claimPort))
@@ -97,6 +99,19 @@
 	return nil, fmt.Errorf("no free network of loopback addresses")
 }
 
+// running returns the process ids of the nodes that run.
+func (w *world) running() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[string]int)
+	for name, n := range w.nodes {
+		if n.process != nil && n.process.running() {
+			out[name] = n.cmd.Process.Pid
+		}
+	}
+	return out
+}
+
 // address returns an address of a host of the world's network.
 func (w *world) address(host byte, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", w.network, w.network, host+1, port)
