--- a/internal/scenario/ibisscenario/region_test.go
+++ b/internal/scenario/ibisscenario/region_test.go
@@ -64,19 +64,24 @@
 		accepted <- conn
 	}
 	walks := 0
+	began := make(chan struct{})
 	var s *sources
 	s = &sources{nodes: func() map[string]int {
 		walks++
-		// The first walk waits until all others have asked.
-		for walks == 1 && s.asked() < connections-1 {
-			runtime.Gosched()
+		if walks == 1 {
+			close(began)
+			for s.asked() < connections-1 {
+				runtime.Gosched()
+			}
 		}
 		return map[string]int{"own": os.Getpid(), "other": 1}
 	}}
 	names := make(chan string, connections)
-	for range connections {
-		conn := <-accepted
-		go func() { names <- s.of(conn) }()
+	ask := func(conn net.Conn) { names <- s.of(conn) }
+	go ask(<-accepted)
+	<-began
+	for range connections - 1 {
+		go ask(<-accepted)
 	}
 	for range connections {
 		if name := <-names; name != "own" {
