--- a/internal/relay/ibisguard/admit.go
+++ b/internal/relay/ibisguard/admit.go
@@ -25,6 +25,12 @@
 		return 0, ibisroster.Life{}, refusal, false
 	}
 	now := g.clock.Now()
+	onLink := g.link.wait(order.Class)
+	if refusal, ok := g.checkLink(order, onLink, now); !ok {
+		g.figures.Refused++
+		g.mu.Unlock()
+		return 0, ibisroster.Life{}, refusal, false
+	}
 	g.nextID++
 	id := g.nextID
 	answer := make(chan verdict, 1)
@@ -33,8 +39,8 @@
 	g.apply(ibisadmit.ArriveEvent{
 		ID:       id,
 		Class:    order.Class,
-		Target:   order.Target,
-		Deadline: order.Deadline,
+		Target:   earlier(order.Target, onLink),
+		Deadline: earlier(order.Deadline, onLink),
 	}, now)
 	g.tick()
 	g.mu.Unlock()
@@ -46,6 +52,14 @@
 	}
 }
 
+// earlier returns a time that much earlier, zero for none.
+func earlier(t time.Time, by time.Duration) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return t.Add(-by)
+}
+
 // cancel takes back an order whose caller left while it waited.
 func (g *Guard) cancel(id ibisadmit.RequestID, answer chan verdict, err error) ibisorder.Answer {
 	g.mu.Lock()
--- a/internal/relay/ibisguard/guard.go
+++ b/internal/relay/ibisguard/guard.go
@@ -15,6 +15,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
+	"github.com/ibisridge/ibisridge/internal/request/ibislatency"
 )
 
 const (
@@ -66,6 +67,7 @@
 	nextID    ibisadmit.RequestID
 	waiting   map[ibisadmit.RequestID]chan verdict
 	ticking   bool
+	link      link
 	figures   Figures
 }
 
@@ -82,13 +84,17 @@
 }
 
 // New returns a guard without a backend server.
-func New(backend Backend, ownership Ownership, clock ibistimer.Service, log *zap.Logger) *Guard {
+func New(backend Backend, ownership Ownership, limits Limits, clock ibistimer.Service, log *zap.Logger) *Guard {
 	return &Guard{
 		backend:   backend,
 		ownership: ownership,
 		clock:     clock,
 		log:       log,
 		waiting:   make(map[ibisadmit.RequestID]chan verdict),
+		link: link{
+			limits: limits,
+			length: make(map[ibisid.ClassName]*ibislatency.Mean),
+		},
 	}
 }
 
@@ -149,7 +155,7 @@
 		})
 		return g.withLoad(ibisorder.NotRun(ibisorder.ReasonDeadline, 0, nil))
 	}
-	answer := g.backend.Send(ctx, order, life, left)
+	answer := g.send(ctx, order, life, left)
 	latency := g.clock.Now().Sub(began)
 	if answer.Outcome != ibisid.OutcomeDone {
 		if answer.Reason == ibisorder.ReasonServerEnded {
@@ -173,9 +179,26 @@
 			})
 		}),
 	}
+	g.hold(&answer)
 	return g.withLoad(answer)
 }
 
+// send runs an order and takes in what its answer brings onto the link.
+func (g *Guard) send(ctx context.Context, order ibisorder.Order, life ibisroster.Life, left time.Duration) ibisorder.Answer {
+	g.mu.Lock()
+	coming := g.link.usual(order.Class)
+	g.link.coming += coming
+	g.mu.Unlock()
+	answer := g.backend.Send(ctx, order, life, left)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.link.coming -= coming
+	if answer.Outcome == ibisid.OutcomeDone {
+		g.link.answered(order.Class, answer.Length)
+	}
+	return answer
+}
+
 // countedBody frees the slot when the answer has been read to its end or was given up.
 type countedBody struct {
 	from io.ReadCloser
--- a/internal/relay/ibisguard/guard_test.go
+++ b/internal/relay/ibisguard/guard_test.go
@@ -151,11 +151,16 @@
 		return out
 	}
 
+	limits := ibisguard.Limits{
+		AnswerBytes: 1 << 20,
+		LinkRate:    1e6,
+	}
+
 	BeforeEach(func() {
 		clock = ibistimer.NewFake(time.Unix(1_000_000, 0))
 		server = &backend{clock: clock, answers: make(chan ibisorder.Answer)}
 		keys = &ownership{standing: ibiskeep.StandingHeld, changed: make(chan struct{})}
-		guard = ibisguard.New(server, keys, clock, zap.NewNop())
+		guard = ibisguard.New(server, keys, limits, clock, zap.NewNop())
 	})
 
 	It("admits nothing before it knows the rules, even after a heartbeat told of a cold start", func() {
--- /dev/null
+++ b/internal/relay/ibisguard/link_test.go
@@ -0,0 +1,119 @@
+package ibisguard_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisguard"
+	"github.com/ibisridge/ibisridge/internal/relay/ibiskeep"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
+)
+
+// ledger answers every order with a body of its length, which breaks off where an error is set.
+type ledger struct {
+	length int
+	err    error
+}
+
+func (l *ledger) Send(context.Context, ibisorder.Order, ibisroster.Life, time.Duration) ibisorder.Answer {
+	body := io.Reader(bytes.NewReader(make([]byte, l.length)))
+	if l.err != nil {
+		body = io.MultiReader(bytes.NewReader(make([]byte, l.length/2)), failing{l.err})
+	}
+	return ibisorder.Answer{
+		Outcome: ibisid.OutcomeDone, Arrived: true, Status: 200, Length: int64(l.length), Body: io.NopCloser(body),
+	}
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+var _ = Describe("A Guard before a slow link", func() {
+	const length = 100_000
+	var (
+		clock *ibistimer.Fake
+		desk  *ledger
+		guard *ibisguard.Guard
+	)
+
+	order := func() ibisorder.Order {
+		return ibisorder.Order{
+			ID: "r", Service: "desk", Server: "s1", Class: "export", Key: ibisorder.NoKey,
+			Target: clock.Now().Add(time.Second), Deadline: clock.Now().Add(2 * time.Second),
+		}
+	}
+
+	start := func(limits ibisguard.Limits) {
+		clock = ibistimer.NewFake(time.Unix(1_000_000, 0))
+		desk = &ledger{length: length}
+		guard = ibisguard.New(desk, &ownership{standing: ibiskeep.StandingHeld, changed: make(chan struct{})}, limits, clock, zap.NewNop())
+		guard.Govern(ibisguard.Rules{Connections: 10})
+		guard.Meet(ibisroster.Server{
+			Life: ibisroster.Life{ID: "s1", Born: 1}, Service: "desk", Slots: 2, State: ibisroster.StateServing,
+		}, 0)
+	}
+
+	It("frees the slot once the backend server has given its answer, however slowly the caller takes it", func() {
+		start(ibisguard.Limits{AnswerBytes: 10 * length, LinkRate: 100 * length})
+		answer := guard.Send(context.Background(), order())
+		Eventually(func() int { return guard.Figures().Running }).Should(BeZero())
+		Expect(io.ReadAll(answer.Body)).To(HaveLen(length))
+		Expect(answer.Body.Close()).To(Succeed())
+	})
+
+	It("holds the slot for answers that memory has no room for", func() {
+		start(ibisguard.Limits{AnswerBytes: length / 2, LinkRate: 100 * length})
+		answer := guard.Send(context.Background(), order())
+		Consistently(func() int { return guard.Figures().Running }, 50*time.Millisecond).Should(Equal(1))
+		Expect(io.ReadAll(answer.Body)).To(HaveLen(length))
+		Expect(guard.Figures().Running).To(BeZero())
+	})
+
+	It("hands an answer that breaks off on as broken", func() {
+		start(ibisguard.Limits{AnswerBytes: 10 * length, LinkRate: 100 * length})
+		desk.err = errors.New("reset")
+		answer := guard.Send(context.Background(), order())
+		body, err := io.ReadAll(answer.Body)
+		Expect(err).To(MatchError(desk.err))
+		Expect(len(body)).To(Equal(length / 2))
+	})
+
+	It("refuses at once what would come late for the link alone, until that has drained", func() {
+		start(ibisguard.Limits{AnswerBytes: 100 * length, LinkRate: 2 * length})
+		var held []ibisorder.Answer
+		refused := ibisorder.Answer{}
+		for range 20 {
+			answer := guard.Send(context.Background(), order())
+			if answer.Outcome != ibisid.OutcomeDone {
+				refused = answer
+				break
+			}
+			held = append(held, answer)
+			Eventually(func() int { return guard.Figures().Running }).Should(BeZero())
+		}
+		Expect(len(held)).To(BeNumerically("~", 2, 1), "a second's worth of the link")
+		Expect(refused.Reason).To(BeEquivalentTo(ibisadmit.ReasonTarget))
+		Expect(refused.RetryAfter).To(BeNumerically("~", 1500*time.Millisecond, 300*time.Millisecond))
+
+		look := order()
+		look.Class = "look"
+		Expect(guard.Send(context.Background(), look).Outcome).To(Equal(ibisid.OutcomeDone), "a class of short answers does not wait for the link")
+
+		for _, answer := range held {
+			_ = answer.Body.Close()
+		}
+		Expect(guard.Send(context.Background(), order()).Outcome).To(Equal(ibisid.OutcomeDone))
+	})
+})
--- /dev/null
+++ b/internal/relay/ibisguard/spool.go
@@ -0,0 +1,97 @@
+package ibisguard
+
+import (
+	"io"
+	"sync"
+)
+
+// spool takes a long answer off the backend server as fast as that gives it, and hands it on as fast as the caller takes
+// it, so that a slow link doesn't hold the backend server's slot.
+type spool struct {
+	from io.ReadCloser
+	// left is told how many bytes no longer wait.
+	left func(bytes int)
+
+	mu     sync.Mutex
+	more   chan struct{}
+	bytes  []byte
+	next   int
+	err    error
+	closed bool
+}
+
+// newSpool begins to read a body of the length.
+func newSpool(from io.ReadCloser, length int, left func(bytes int)) *spool {
+	s := &spool{
+		from:  from,
+		left:  left,
+		more:  make(chan struct{}),
+		bytes: make([]byte, 0, length),
+	}
+	go s.fill()
+	return s
+}
+
+// fill reads the body to its end.
+func (s *spool) fill() {
+	for {
+		n, err := s.from.Read(s.bytes[len(s.bytes):cap(s.bytes)])
+		s.mu.Lock()
+		s.bytes = s.bytes[:len(s.bytes)+n]
+		if err == nil && len(s.bytes) == cap(s.bytes) {
+			// The body has its length; its end must still be read, so that its connection can be used again.
+			err = s.end()
+		}
+		s.err = err
+		close(s.more)
+		s.more = make(chan struct{})
+		s.mu.Unlock()
+		if err != nil {
+			_ = s.from.Close()
+			return
+		}
+	}
+}
+
+// end reads the end of a body that has its length.
+func (s *spool) end() error {
+	var none [1]byte
+	n, err := s.from.Read(none[:])
+	if n > 0 {
+		return io.ErrShortBuffer
+	}
+	return err
+}
+
+// Read waits for bytes and returns them; it fails where the body breaks off.
+func (s *spool) Read(p []byte) (int, error) {
+	for {
+		s.mu.Lock()
+		n := copy(p, s.bytes[s.next:])
+		s.next += n
+		more, err := s.more, s.err
+		s.mu.Unlock()
+		if n > 0 {
+			s.left(n)
+			return n, nil
+		}
+		if err != nil {
+			return 0, err
+		}
+		<-more
+	}
+}
+
+// Close gives the rest of the body up.
+func (s *spool) Close() error {
+	s.mu.Lock()
+	rest := cap(s.bytes) - s.next
+	again := s.closed
+	s.closed = true
+	s.mu.Unlock()
+	if again {
+		return nil
+	}
+	s.left(rest)
+	return s.from.Close()
+}
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -14,6 +14,8 @@
 const (
 	defaultRampUp  = 30 * time.Second
 	holdWindow     = 200
+	// unknownHold is what a request of a class is taken to need that has not ended one yet, a usual page's work.
+	unknownHold = 100 * time.Millisecond
 	minRetryAfter  = 10 * time.Millisecond
 	slowRetryAfter = 100 * time.Millisecond
 	probePeriod    = 200 * time.Millisecond
@@ -91,6 +93,14 @@
 // Limit returns the number of requests that may run at the time.
 func (g *Gate) Limit(now time.Time) int { return g.limit.bound(now) }
 
+// Usual returns how long requests of the class hold a slot on average, and a guess before the first has ended.
+func (g *Gate) Usual(class ibisid.ClassName) time.Duration {
+	if h := g.holds[class]; h != nil && h.mean.Count() > 0 {
+		return time.Duration(h.mean.Value())
+	}
+	return unknownHold
+}
+
 // Update takes one event in and returns what follows from it, in order.
 func (g *Gate) Update(event Event, now time.Time) []Effect {
 	g.effects = nil
