One node of a failure domain asks the store for members and pages and passes the changes on

Change: the first node by name of a failure domain asks the store; the others hold a question at it, and ask the store themselves where it gives no answer, can't reach the store, lags, stops, or hears of changes from a neighbor itself. The operator's table stays a question of each node. Conclusion: calls grow with the failure domains; the operator's table is the next limit.

--- a/internal/relay/ibisfollow/follower.go
+++ b/internal/relay/ibisfollow/follower.go
@@ -163,7 +163,9 @@
 	}
 	if len(changes.Rows) > 0 {
 		f.options.Apply(changes.Rows, false, changes.Version)
-		ibistimer.Sleep(ctx, f.options.Gather)
+		if !changes.Gathered {
+			ibistimer.Sleep(ctx, f.options.Gather)
+		}
 	}
 	return max(position, changes.Version), nil
 }
--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -167,6 +167,13 @@
 	return f.roster.Of(service)
 }
 
+// First returns the first member by name of a failure domain that isn't stopping or known to be down.
+func (f *Front) First(domain ibisid.DomainName) (ibisroster.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.First(domain, func(m ibisroster.Member) bool { return !m.Stopping && !f.down.Has(m.Node) })
+}
+
 // Known returns the number of members.
 func (f *Front) Known() int {
 	f.mu.Lock()
--- a/internal/relay/ibisroster/roster.go
+++ b/internal/relay/ibisroster/roster.go
@@ -80,5 +80,16 @@
 	return out
 }
 
+// First returns the first member by name of a failure domain that the test takes.
+func (r *Roster) First(domain ibisid.DomainName, takes func(m Member) bool) (Member, bool) {
+	var first Member
+	for name, e := range r.members {
+		if e.member.Place.Domain == domain && takes(e.member) && (first.Node == "" || name < first.Node) {
+			first = e.member
+		}
+	}
+	return first, first.Node != ""
+}
+
 // Len returns the number of members.
 func (r *Roster) Len() int { return len(r.members) }
--- a/internal/relay/ibisstore/store.go
+++ b/internal/relay/ibisstore/store.go
@@ -39,6 +39,8 @@
 	Version uint64
 	// Clock is the store's steady clock at that moment.
 	Clock time.Duration
+	// Gathered says that whoever answered let changes gather already, so that the next question may follow at once.
+	Gathered bool
 }
 
 // Condition is what a commit requires of a row.
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	defaultRampUp  = 30 * time.Second
-	holdWindow     = 200
+	defaultRampUp = 30 * time.Second
+	holdWindow    = 200
 	// unknownHold is what a request of a class is taken to need that has not ended one yet, a usual page's work.
-	unknownHold = 100 * time.Millisecond
+	unknownHold    = 100 * time.Millisecond
 	minRetryAfter  = 10 * time.Millisecond
 	slowRetryAfter = 100 * time.Millisecond
 	probePeriod    = 200 * time.Millisecond
