Refusals for the link have a reason and a gauge of their own; one constant tells short answers from long ones

Read once more: on-call could not tell a full link from a full gate (`target` for both), three packages had a constant of 16 KB each for the same thing, and the end of a held answer was read under its lock. Behaviour stays as it is.

--- a/internal/relay/ibisfront/attempt.go
+++ b/internal/relay/ibisfront/attempt.go
@@ -75,19 +75,19 @@
 	return ibischoose.ResultDone
 }
 
-// wholeIfShort reads a short answer to its end.
+// wholeIfShort reads a short answer to its end before its first byte goes out: if it breaks off it can be asked for again.
 func wholeIfShort(a ibisorder.Answer) ibisorder.Answer {
-	if a.Length > bufferedAnswer {
+	if a.Length > ibisorder.ShortAnswer {
 		return a
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, bufferedAnswer))
+	body, err := io.ReadAll(io.LimitReader(a.Body, ibisorder.ShortAnswer))
 	if err != nil {
 		_ = a.Body.Close()
 		broken := ibisorder.Unknown(ibisorder.ReasonBroken, fmt.Errorf("read the answer: %w", err))
 		broken.Load = a.Load
 		return broken
 	}
-	if len(body) < bufferedAnswer {
+	if len(body) < ibisorder.ShortAnswer {
 		_ = a.Body.Close()
 		if a.Length < 0 {
 			a.Length = int64(len(body))
--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -24,9 +24,6 @@
 const (
 	// bufferedBody is the greatest body that is held in memory, so that it can be sent again.
 	bufferedBody = 64 << 10
-	// bufferedAnswer is the greatest answer that is read whole before its first byte goes out: if it breaks off it can be
-	// asked for again.
-	bufferedAnswer = 16 << 10
 	// minChoice is the number of usable backend servers below which those further away are taken in.
 	minChoice = 2
 	// outstandingPerSlot is how many requests of one node may be on their way to a backend server for each of its slots: as
--- a/internal/relay/ibisguard/guard.go
+++ b/internal/relay/ibisguard/guard.go
@@ -81,6 +81,8 @@
 	Running int
 	// Waiting is the number of requests that wait for a slot.
 	Waiting int
+	// LinkBytes is the number of bytes of answers that wait for the link.
+	LinkBytes int
 }
 
 // New returns a guard without a backend server.
@@ -126,6 +128,7 @@
 	defer g.mu.Unlock()
 	f := g.figures
 	f.Waiting = len(g.waiting)
+	f.LinkBytes = g.link.held
 	if g.gate != nil {
 		f.Running = g.gate.Running()
 	}
--- a/internal/relay/ibisguard/link.go
+++ b/internal/relay/ibisguard/link.go
@@ -9,13 +9,8 @@
 	"github.com/ibisridge/ibisridge/internal/request/ibislatency"
 )
 
-const (
-	// longAnswer is the length in bytes from which an answer is taken off the backend server at once; shorter ones fit into
-	// the buffers of a connection.
-	longAnswer = 16 << 10
-	// lengthWindow is the number of answers that the mean length of a class spans.
-	lengthWindow = 100
-)
+// lengthWindow is the number of answers that the mean length of a class spans.
+const lengthWindow = 100
 
 // Limits is what the instance bears.
 type Limits struct {
@@ -35,7 +30,7 @@
 
 // usual returns the usual length of a class's answers, zero where they are short.
 func (l *link) usual(class ibisid.ClassName) float64 {
-	if m := l.length[class]; m != nil && m.Value() > longAnswer {
+	if m := l.length[class]; m != nil && m.Value() > ibisorder.ShortAnswer {
 		return m.Value()
 	}
 	return 0
@@ -70,7 +65,7 @@
 	if order.Target.IsZero() || wait <= usual || !now.Add(wait+usual).After(order.Target) {
 		return ibisorder.Answer{}, true
 	}
-	return ibisorder.NotRun(ibisorder.Reason(ibisadmit.ReasonTarget), wait, nil), false
+	return ibisorder.NotRun(ibisorder.Reason(ibisadmit.ReasonLink), wait, nil), false
 }
 
 // hold takes a long answer off the backend server at once where memory allows.
@@ -78,7 +73,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	length := int(answer.Length)
-	if length <= longAnswer || g.link.held+length > g.link.limits.AnswerBytes {
+	if length <= ibisorder.ShortAnswer || g.link.held+length > g.link.limits.AnswerBytes {
 		return
 	}
 	g.link.held += length
--- a/internal/relay/ibisguard/link_test.go
+++ b/internal/relay/ibisguard/link_test.go
@@ -104,7 +104,7 @@
 			Eventually(func() int { return guard.Figures().Running }).Should(BeZero())
 		}
 		Expect(len(held)).To(BeNumerically("~", 2, 1), "a second's worth of the link")
-		Expect(refused.Reason).To(BeEquivalentTo(ibisadmit.ReasonTarget))
+		Expect(refused.Reason).To(BeEquivalentTo(ibisadmit.ReasonLink))
 		Expect(refused.RetryAfter).To(BeNumerically("~", 1500*time.Millisecond, 300*time.Millisecond))
 
 		look := order()
--- a/internal/relay/ibisguard/spool.go
+++ b/internal/relay/ibisguard/spool.go
@@ -35,13 +35,14 @@
 // fill reads the body to its end.
 func (s *spool) fill() {
 	for {
-		n, err := s.from.Read(s.bytes[len(s.bytes):cap(s.bytes)])
-		s.mu.Lock()
-		s.bytes = s.bytes[:len(s.bytes)+n]
-		if err == nil && len(s.bytes) == cap(s.bytes) {
+		read := len(s.bytes)
+		n, err := s.from.Read(s.bytes[read:cap(s.bytes)])
+		if err == nil && read+n == cap(s.bytes) {
 			// The body has its length; its end must still be read, so that its connection can be used again.
 			err = s.end()
 		}
+		s.mu.Lock()
+		s.bytes = s.bytes[:read+n]
 		s.err = err
 		close(s.more)
 		s.more = make(chan struct{})
--- a/internal/relay/ibishop/hop_test.go
+++ b/internal/relay/ibishop/hop_test.go
@@ -155,7 +155,7 @@
 		Expect(io.ReadAll(answer.Body)).To(HaveLen(long))
 		sum := 0
 		for _, n := range p.asked {
-			Expect(n).To(BeNumerically("<=", ibishop.CopyBytes))
+			Expect(n).To(BeNumerically("<=", ibisorder.ShortAnswer))
 			sum += n
 		}
 		Expect(sum).To(Equal(long))
--- a/internal/relay/ibishop/server.go
+++ b/internal/relay/ibishop/server.go
@@ -15,9 +15,6 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisorder"
 )
 
-// CopyBytes is the buffer of an answer on its way through.
-const CopyBytes = 16 << 10
-
 // Target runs orders on the backend server of the own instance.
 type Target interface {
 	// Send runs an order, or answers why it was not run.
@@ -27,7 +24,7 @@
 // Pacer spaces the bytes of long answers, so that short ones and new connections don't queue behind them on the
 // instance's link.
 type Pacer interface {
-	// WaitN waits until so many bytes may go, CopyBytes at most; it fails when the context ends first.
+	// WaitN waits until so many bytes may go, ibisorder.ShortAnswer at most; it fails when the context ends first.
 	WaitN(ctx context.Context, n int) error
 }
 
@@ -48,7 +45,7 @@
 			return
 		}
 		w.Header()[headerAnswer] = []string{encodeAnswer(answer)}
-		if answer.Length < 0 || answer.Length > CopyBytes {
+		if answer.Length < 0 || answer.Length > ibisorder.ShortAnswer {
 			answer.Body = pacedBody{
 				ReadCloser: answer.Body,
 				ctx:        r.Context(),
@@ -68,7 +65,7 @@
 
 // Read reads the body and waits until what was read may go.
 func (b pacedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p[:min(len(p), CopyBytes)])
+	n, err := b.ReadCloser.Read(p[:min(len(p), ibisorder.ShortAnswer)])
 	if n == 0 {
 		return n, err
 	}
@@ -103,7 +100,7 @@
 // copyBody passes a body on as it comes: what has been read is flushed before the next read can block.
 func copyBody(w http.ResponseWriter, body io.Reader) error {
 	flusher, _ := w.(http.Flusher)
-	buffer := make([]byte, CopyBytes)
+	buffer := make([]byte, ibisorder.ShortAnswer)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
--- a/internal/relay/ibisneighbor/neighbor_test.go
+++ b/internal/relay/ibisneighbor/neighbor_test.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
-	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisneighbor"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
@@ -69,7 +68,7 @@
 		DeferCleanup(server.CloseClientConnections)
 		n.address = strings.TrimPrefix(server.URL, "http://")
 		n.changes = ibisneighbor.New(n.store, n.copy, table, func() (string, bool) { return n.neighbor, n.neighbor != "" },
-			ibislink.Dialer(0), ibistimer.New(), zap.NewNop())
+			ibistimer.New(), zap.NewNop())
 		return n
 	}
 
--- a/internal/relay/ibisneighbor/store.go
+++ b/internal/relay/ibisneighbor/store.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -14,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
 
@@ -46,8 +46,7 @@
 }
 
 // New returns a store whose changes of the table come from the neighbor where there is one to ask.
-func New(store ibisstore.Store, own *Copy, table string, neighbor func() (address string, ok bool), dialer *net.Dialer, clock ibistimer.Service, log *zap.Logger) *Store {
-	dialer.Timeout = dialTimeout
+func New(store ibisstore.Store, own *Copy, table string, neighbor func() (address string, ok bool), clock ibistimer.Service, log *zap.Logger) *Store {
 	return &Store{
 		Store:    store,
 		own:      own,
@@ -57,7 +56,7 @@
 		log:      log,
 		client: &http.Client{
 			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
+				DialContext:         ibislink.Dialer(dialTimeout).DialContext,
 				MaxIdleConnsPerHost: 1,
 				IdleConnTimeout:     askTimeout,
 			},
--- a/internal/relay/ibisorder/answer.go
+++ b/internal/relay/ibisorder/answer.go
@@ -50,6 +50,10 @@
 	ReasonBadRequest Reason = "badRequest"
 )
 
+// ShortAnswer is the greatest answer, in bytes, that is read whole and sent in one piece: most of the users' answers, at a
+// page or two of memory each. Longer ones go in pieces of that size.
+const ShortAnswer = 16 << 10
+
 // Answer is how an order ended.
 type Answer struct {
 	// Outcome is OutcomeDone with the backend server's answer, OutcomeNotRun, or OutcomeUnknown.
--- a/internal/request/ibisadmit/effect.go
+++ b/internal/request/ibisadmit/effect.go
@@ -18,7 +18,7 @@
 
 // ForLoad reports whether the load on the gate was the reason, as it will be at other gates of the service.
 func (r Reason) ForLoad() bool {
-	return r == ReasonTarget || r == ReasonQueueFull || r == ReasonDeadline
+	return r == ReasonTarget || r == ReasonLink || r == ReasonQueueFull || r == ReasonDeadline
 }
 
 const (
@@ -30,6 +30,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonTarget means that the request would wait past its target time.
 	ReasonTarget Reason = "target"
+	// ReasonLink means that the answer would come past its target time for what waits for the instance's link.
+	ReasonLink Reason = "link"
 	// ReasonSlow means that the backend server answers far slower than usual and others may be faster.
 	ReasonSlow Reason = "slow"
 	// ReasonDraining means that the backend server is leaving.
