--- a/internal/measure/ibismatrix/bench.go
+++ b/internal/measure/ibismatrix/bench.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,9 +26,11 @@
 )
 
 const (
-	sampleToken  = "ibis_pirkanmaa-shops.till_e526812ef4cdc3a745e22b318a9dad390148fe5b210f3230"
-	samplePath   = "/designs/MAT-4711"
-	openTimeout  = 30 * time.Second
+	sampleToken = "ibis_pirkanmaa-shops.till_e526812ef4cdc3a745e22b318a9dad390148fe5b210f3230"
+	samplePath  = "/designs/MAT-4711"
+	// openTimeout is the patience for the nodes to gather, which is no promise: beside 45 runnable threads on six processors
+	// it took more than 30 seconds.
+	openTimeout  = 2 * time.Minute
 	orderTimeout = 15 * time.Second
 )
 
@@ -93,16 +97,22 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
+	began := time.Now()
 	if err := b.WaitReady(ctx); err != nil {
 		return err
 	}
-	return b.findOwner(ctx)
+	ready := time.Since(began)
+	if err := b.findOwner(ctx); err != nil {
+		return fmt.Errorf("%w; the nodes were ready after %s of %s", err, ready.Round(time.Millisecond), openTimeout)
+	}
+	return nil
 }
 
 // findOwner asks for the sample key at every node until all answers come from one backend server.
 func (b *bench) findOwner(ctx context.Context) error {
+	var servers map[string]bool
 	for ctx.Err() == nil {
-		servers := make(map[string]bool)
+		servers = make(map[string]bool)
 		for _, p := range b.Pairs() {
 			servers[b.send(ctx, p, http.MethodGet, samplePath, "").server()] = true
 		}
@@ -114,7 +124,7 @@
 		}
 		time.Sleep(repeatPause)
 	}
-	return errors.New("no single owner of the sample key was found")
+	return fmt.Errorf("no single owner of the sample key was found, the last answers came from %q", slices.Sorted(maps.Keys(servers)))
 }
 
 // runs returns how often the order ran, over all backend servers.
