--- a/internal/program/ibiscli/explain.go
+++ b/internal/program/ibiscli/explain.go
@@ -55,6 +55,10 @@
 var causes = map[string]string{
 	"target":        "the gate had no slot in time for the target, and other requests could still be served in time",
 	"deadline":      "the deadline passed, or would have before an answer",
+	"link":          "the answer would have come past its target behind the long answers that wait for the node's link",
+	"rate":          "the tenant sent more than its rate",
+	"slow":          "the backend server answered far slower than usual",
+	"badRequest":    "the request can't be read",
 	"queueFull":     "the class's queue at the gate was full",
 	"busy":          "every backend server that may run it had just refused this class or was set aside",
 	"draining":      "the backend server or its node is leaving",
