A page's row names each owner once, so that 120 owners fit

A page of 120 owners and 960 ranges took 163 KB where a row takes 64 KiB, so that the first division was never written and keys had no owner. Change: owners are listed once and ranges stand in columns (45 KB for those 960 with handovers); beyond 125 owners each gets fewer ranges at first.

--- a/internal/relay/ibiskeep/balance.go
+++ b/internal/relay/ibiskeep/balance.go
@@ -9,6 +9,9 @@
 	// stripesPerOwner is how many ranges each owner gets at first: busy keys are close to one another, so that stripes
 	// spread them over the owners.
 	stripesPerOwner = 8
+	// mostRanges bounds the ranges of the first division: the page's row takes 64 KiB, of which 500 owners at 85 bytes leave
+	// room for some 1,000 ranges at 13 bytes and their handovers at 25 as they come.
+	mostRanges = 1000
 	// leastShare is the share of a fair part below which an owner is given more: a joining server has none.
 	leastShare = 0.5
 	// narrowest is the smallest range that a split leaves, in keys.
@@ -19,7 +22,7 @@
 
 // divide gives each owner its stripes, all of one width.
 func divide(owners []ibisroster.Member) Page {
-	n := len(owners) * stripesPerOwner
+	n := len(owners) * stripes(len(owners))
 	var page Page
 	for i := range n {
 		m := owners[i%len(owners)]
@@ -38,6 +41,11 @@
 	return page
 }
 
+// stripes returns how many ranges each of so many owners gets at first, so that the page's row can bear them all.
+func stripes(owners int) int {
+	return max(1, min(stripesPerOwner, mostRanges/max(1, owners)))
+}
+
 // rebalance asks owners with many keys to give some to owners that have far too few, and takes back what was asked for
 // a node that can't take it any more. It waits while planned moves are on their way.
 func rebalance(page Page, owners []ibisroster.Member, settled func(ibisid.NodeName) bool) (Page, bool) {
--- a/internal/relay/ibiskeep/page.go
+++ b/internal/relay/ibiskeep/page.go
@@ -1,8 +1,6 @@
 package ibiskeep
 
 import (
-	"encoding/json"
-	"fmt"
 	"slices"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
@@ -15,9 +13,9 @@
 // Span is a run of keys, both ends included.
 type Span struct {
 	// From is the first key.
-	From int `json:"from"`
+	From int
 	// To is the last key.
-	To int `json:"to"`
+	To int
 }
 
 // Width returns the number of keys.
@@ -67,47 +65,19 @@
 type Range struct {
 	Span
 	// Owner owns the keys.
-	Owner Owner `json:"owner"`
+	Owner Owner
 	// Token is the fencing token; it rises with every change of owner.
-	Token ibisid.Token `json:"token"`
+	Token ibisid.Token
 	// Handover is what the last owner's backend server handed out when it released the keys; empty where it didn't.
-	Handover string `json:"handover,omitempty"`
+	Handover string
 	// Next is the node that the owner is asked to give the keys to; empty where they stay.
-	Next ibisid.NodeName `json:"next,omitempty"`
+	Next ibisid.NodeName
 }
 
 // Page is the ranges of a service in order; together they hold every key.
 type Page struct {
 	// Ranges lists the ranges by key.
-	Ranges []Range `json:"ranges"`
-}
-
-// Encode returns the page as the content of its row.
-func (p Page) Encode() []byte {
-	value, err := json.Marshal(p)
-	if err != nil {
-		panic(fmt.Sprintf("page can't be encoded: %v", err))
-	}
-	return value
-}
-
-// DecodePage reads the content of a page's row; it fails where ranges are missing or overlap.
-func DecodePage(value []byte) (Page, error) {
-	var p Page
-	if err := json.Unmarshal(value, &p); err != nil {
-		return Page{}, fmt.Errorf("row of a page: %w", err)
-	}
-	next := 0
-	for _, r := range p.Ranges {
-		if r.From != next || r.To < r.From {
-			return Page{}, fmt.Errorf("row of a page: a range runs from %d to %d where one must begin at %d", r.From, r.To, next)
-		}
-		next = r.To + 1
-	}
-	if next != Keys {
-		return Page{}, fmt.Errorf("row of a page: its ranges end at %d and must end at %d", next, Keys)
-	}
-	return p, nil
+	Ranges []Range
 }
 
 // Find returns the range that holds the key.
