--- a/internal/relay/ibiskeep/balance.go
+++ b/internal/relay/ibiskeep/balance.go
@@ -9,8 +9,8 @@
 	// stripesPerOwner is how many ranges each owner gets at first: busy keys are close to one another, so that stripes
 	// spread them over the owners.
 	stripesPerOwner = 8
-	// mostRanges bounds the ranges of the first division: the page's row takes 64 KiB, of which 500 owners at 85 bytes leave
-	// room for some 1,000 ranges at 13 bytes and their handovers at 25 as they come.
+	// mostRanges bounds the ranges of the first division: the page's row takes 64 KiB, of which 1,000 ranges at 13 bytes and
+	// their handovers at 25 leave room for some 300 owners at 85.
 	mostRanges = 1000
 	// leastShare is the share of a fair part below which an owner is given more: a joining server has none.
 	leastShare = 0.5
