Test of a cut node cuts it off from the table too

The trace of the code: such a node has no neighbour that answers, so Discover takes the rows from the table, which the test left within its reach. That is what Discover is for; the test was wrong, and green only where the search came later than the check. A call that had passed the check of the cut before it began could end after it as well. Change: a cut node loses the table as well, and a cut begins when no call is under way; the check itself stays and now always holds.

--- a/internal/node/ibisrows/rows_test.go
+++ b/internal/node/ibisrows/rows_test.go
@@ -32,6 +32,9 @@
 
 	mu    sync.Mutex
 	nodes map[string]*node
+
+	// lines is held for reading by each call that is under way, so that none outlives the start of a cut.
+	lines sync.RWMutex
 	cut   map[string]bool
 }
 
@@ -100,9 +103,10 @@
 func (n *node) Call(_ context.Context, address, method string, args, reply any) error {
 	n.fleet.mu.Lock()
 	target := n.fleet.nodes[address]
-	broken := target == nil || n.fleet.cut[address] || n.fleet.cut[string(n.self.Name)]
 	n.fleet.mu.Unlock()
-	if broken {
+	n.fleet.lines.RLock()
+	defer n.fleet.lines.RUnlock()
+	if target == nil || n.fleet.cut[address] || n.fleet.cut[string(n.self.Name)] {
 		return errors.New("cut")
 	}
 	service := target.Service()
@@ -115,6 +119,41 @@
 	return fmt.Errorf("no method %s", method)
 }
 
+// setCut cuts a node off from the others and from the table, or ends that; no call is under way when it returns.
+func (f *fleet) setCut(name string, cut bool) {
+	f.lines.Lock()
+	defer f.lines.Unlock()
+	f.cut[name] = cut
+}
+
+// nodeTable is the table as a node reaches it: not at all while the node is cut off.
+type nodeTable struct {
+	*ibisstore.Store
+	node *node
+}
+
+// Scan returns the rows of the prefix.
+func (t nodeTable) Scan(ctx context.Context, prefix string) ([]ibisplatform.Row, error) {
+	f := t.node.fleet
+	f.lines.RLock()
+	defer f.lines.RUnlock()
+	if f.cut[string(t.node.self.Name)] {
+		return nil, ibisplatform.ErrUnavailable
+	}
+	return t.Store.Scan(ctx, prefix)
+}
+
+// Commit applies the writes if every condition holds.
+func (t nodeTable) Commit(ctx context.Context, commit ibisplatform.Commit) (ibisplatform.CommitResult, error) {
+	f := t.node.fleet
+	f.lines.RLock()
+	defer f.lines.RUnlock()
+	if f.cut[string(t.node.self.Name)] {
+		return ibisplatform.CommitResult{}, ibisplatform.ErrUnavailable
+	}
+	return t.Store.Commit(ctx, commit)
+}
+
 // start joins a node: it searches for others and publishes its own member row.
 func (f *fleet) start(ctx context.Context, name, domain string) *node {
 	n := &node{
@@ -126,13 +165,17 @@
 	f.mu.Lock()
 	f.nodes[name] = n
 	f.mu.Unlock()
+	table := nodeTable{
+		Store: f.store,
+		node:  n,
+	}
 	n.Subscribe("member/", n.member)
-	Expect(n.Bootstrap(ctx, n, f.store, nil)).To(Succeed())
+	Expect(n.Bootstrap(ctx, n, table, nil)).To(Succeed())
 	n.Publish(f.commit(ctx, "member/"+name, domain))
 	for _, run := range []func() error{
 		func() error { return n.Run(ctx, n, n) },
-		func() error { return n.Discover(ctx, n, f.store, nil, zap.NewNop()) },
-		func() error { return n.KeepContacts(ctx, n, f.store, n, zap.NewNop()) },
+		func() error { return n.Discover(ctx, n, table, nil, zap.NewNop()) },
+		func() error { return n.KeepContacts(ctx, n, table, n, zap.NewNop()) },
 	} {
 		go func() {
 			defer GinkgoRecover()
@@ -209,7 +252,7 @@
 		}
 	})
 
-	It("mends a node that was cut off, and takes the copies of a contact while the table is down", func() {
+	It("mends a node that was cut off from the others and from the table, and takes the copies of a contact while the table is down", func() {
 		run, end := context.WithCancel(context.Background())
 		defer end()
 		f := newFleet()
@@ -217,9 +260,7 @@
 			f.start(run, fmt.Sprintf("n%02d", i), fmt.Sprintf("d%d", i%4))
 		}
 		f.until(f.all(knows(8)))
-		f.mu.Lock()
-		f.cut["n05"] = true
-		f.mu.Unlock()
+		f.setCut("n05", true)
 		f.nodes["n01"].Publish(f.commit(run, "page/floor/1", "while cut"))
 		has := func(n *node) bool {
 			row, _ := n.Get("page/floor/1")
@@ -227,9 +268,7 @@
 		}
 		f.until(func() bool { return has(f.nodes["n02"]) })
 		Expect(has(f.nodes["n05"])).To(BeFalse())
-		f.mu.Lock()
-		f.cut["n05"] = false
-		f.mu.Unlock()
+		f.setCut("n05", false)
 		f.until(f.all(has))
 
 		f.store.Inject(ibisstore.FaultRule{
