A gate that has seen few answers sees its server turn cold

Traced in renew: the gate had seen 3 answers of 120 ms when its server turned cold, and took the answers of 480 ms that followed into its usual latency, so that the tenth looked 1.3 times as slow as usual. The laws wait for 50 answers. Change: before 50 answers the gate keeps answers of more than three times the usual latency out of its baseline until a usual one ends their row; eight in a row are a cold server, and start a ramp like that of an announced cold start. Conclusion: what a gate can know by itself is used; the rest needs what other gates of the service saw.

--- a/internal/request/ibisadmit/limit.go
+++ b/internal/request/ibisadmit/limit.go
@@ -30,6 +30,7 @@
 	baseline  *ibislatency.Baseline
 	ratio     ibislatency.Mean
 	failures  ibislatency.Mean
+	streak    streak
 	seen      int
 	shrunk    time.Time
 	ramps     []ramp
@@ -105,6 +106,7 @@
 	l.climb.forget(now)
 	l.ratio = ibislatency.Mean{}
 	l.failures = ibislatency.Mean{}
+	l.streak = streak{}
 }
 
 // sample takes in the end of a request that was admitted at the given time and reports whether the limit fell to 1
@@ -124,8 +126,11 @@
 	l.failures.Add(failureValue(e.Failed), failureWindow)
 	l.ratio.Add(ratio, ratioWindow)
 	if !e.Failed {
-		l.baseline.Add(class, e.Latency)
-		l.seen++
+		l.learn(class, e.Latency)
+	}
+	if l.streak.cold() {
+		l.startAnew(now)
+		return true
 	}
 	if l.turnedCold() {
 		l.startProbe(now)
