An heir waits for the owner before one that was dead when it was named

Traced: n1 committed the death of n2 and was cut off before it could spread it; n6, which had not heard, gave n1's slots to n2 2.3 s later; n4 knew that n2 was dead, took over and counted the wait for unfenced orders from n2's death, so that it ran beside n1's last order. Ruled out: a lease that overlaps (n1 began nothing after its lease); the relay on the users' platform, where a lost node's keys are given away only after its lease and grants have lapsed, so that no wait follows the page. Change: the wait starts at the later of the death and the page that named the dead member; an owner that the heir never saw (the token jumps) counts as one that ran until now.

--- a/internal/measure/ibiscell/matrix_test.go
+++ b/internal/measure/ibiscell/matrix_test.go
@@ -74,6 +74,17 @@
 		}
 	})
 
+	It("lets no heir run beside an owner whose first heir was dead already when it was named", func() {
+		cells, err := ibiscell.Run(ibiscell.Selection{
+			Flows:  []string{"takeOverUnfenced"},
+			Faults: []string{"cutBothWays"},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		for _, cell := range cells {
+			Expect(cell.Broken).To(BeEmpty(), "%s / %s", cell.Flow, cell.Step)
+		}
+	})
+
 	It("has the same cell twice", func() {
 		s := ibiscell.Selection{
 			Flows:  []string{"renew"},
--- a/internal/node/ibisowner/member.go
+++ b/internal/node/ibisowner/member.go
@@ -28,7 +28,9 @@
 
 // deadState is what is kept of a member that is dead for ever.
 type deadState struct {
-	seen   time.Time
+	seen time.Time
+	// named is when a page last gave a slot to the member, after its death, because its writer had not heard of that.
+	named  time.Time
 	checks bool
 }
 
--- a/internal/node/ibisowner/page.go
+++ b/internal/node/ibisowner/page.go
@@ -61,6 +61,7 @@
 func (k *Keeper) takeOwnPage(page, old *ibisslot.Page, now time.Time) {
 	k.coordinate(ibispage.PageSeenEvent{Page: page}, now)
 	k.diedAll(k.superseded(page, nil), now)
+	k.noteNamedDead(page, old, now)
 	k.joinKeys(page)
 	k.letGo(page)
 	changes := k.receiver.Page(page)
@@ -72,6 +73,30 @@
 	}
 }
 
+// noteNamedDead notes the dead members to which the page gives slots: the owner before them may have run orders until
+// just now, however long ago they died.
+func (k *Keeper) noteNamedDead(page, old *ibisslot.Page, now time.Time) {
+	if len(k.dead) == 0 {
+		return
+	}
+	note := func(a ibisslot.Assignment, unit ibismove.Unit) {
+		gone, dead := k.dead[a.Owner]
+		if !dead || old != nil && assignmentOf(old, unit).Token == a.Token {
+			return
+		}
+		gone.named = now
+		k.dead[a.Owner] = gone
+	}
+	for i := range page.Len() {
+		note(page.Slot(i), ibismove.Unit{
+			Position: i,
+		})
+	}
+	for _, o := range page.Overrides() {
+		note(o.Assignment, hotUnit(o.Key))
+	}
+}
+
 // letGo drops the slots that the page gives to another member or under another token.
 func (k *Keeper) letGo(page *ibisslot.Page) {
 	for i := range page.Len() {
@@ -116,7 +141,7 @@
 	ready := now
 	if a.Token > 1 && !assignmentOf(page, a.Unit).Handed {
 		k.counts.takeovers.Add(1)
-		ready = k.readyAt(old, a.Unit, now)
+		ready = k.readyAt(old, a, now)
 	}
 	var away []ibisslot.KeyHash
 	if !a.Unit.Hot {
@@ -126,16 +151,20 @@
 	k.changedSlots = append(k.changedSlots, slot)
 }
 
-// readyAt returns when the first request may run after the death of the earlier owner.
-func (k *Keeper) readyAt(old *ibisslot.Page, unit ibismove.Unit, now time.Time) time.Time {
+// readyAt returns when the first request may run after the death of the earlier owner. An owner that is not known, since
+// its page was never seen here, may have run orders until now.
+func (k *Keeper) readyAt(old *ibisslot.Page, a ibismove.Adopted, now time.Time) time.Time {
 	var former ibisid.Member
-	if old != nil {
-		former = assignmentOf(old, unit).Owner
+	if old != nil && assignmentOf(old, a.Unit).Token+1 == a.Token {
+		former = assignmentOf(old, a.Unit).Owner
 	}
 	wait := k.terms.TakeoverWait(k.checksGrants(former), k.longest.at(now))
 	gone, dead := k.dead[former]
-	if !dead {
+	switch {
+	case !dead:
 		return now.Add(wait)
+	case gone.named.After(gone.seen):
+		return gone.named.Add(wait)
 	}
 	return gone.seen.Add(wait)
 }
