The matrix judges a refusal by the attempts of its own sending

Traced: an impatient caller sent order ...018 through a second door while it ran; the second door, a node without a document yet, answered not run, which is true of what it was sent. The check took any run of the order as proof against the first answer. Change: each sending keeps the attempts that its door made, and none of them may have run where it is answered not run. That holds for every answer of an order now; before it was checked for the first alone. The mutations of the matrix are still found.

--- a/internal/measure/ibiscell/answer.go
+++ b/internal/measure/ibiscell/answer.go
@@ -26,9 +26,10 @@
 }
 
 // answered takes the caller's answer; a caller that hears "not run" sends the same again.
-func (w *world) answered(o *order, f final) {
+func (w *world) answered(s *sending, f final) {
+	o := s.order
 	o.finals = append(o.finals, f)
-	w.checkFinal(o, f)
+	w.checkFinal(s, f)
 	if f.outcome != ibisid.OutcomeNotRun || len(o.finals) > maxRepeats {
 		return
 	}
--- a/internal/measure/ibiscell/order.go
+++ b/internal/measure/ibiscell/order.go
@@ -68,12 +68,12 @@
 // pursuit is one request at a door.
 type pursuit struct {
 	order    *order
+	sent     *sending
 	number   int
 	deadline time.Time
 	tried    []ibisid.NodeName
 	answers  map[ibisretry.Attempt]final
 	ended    bool
-	done     func(final)
 }
 
 func newPursuer(n *node) *pursuer {
@@ -149,14 +149,16 @@
 		world: w,
 		order: o,
 	}
-	w.after(w.latency(), func() { door.do(func() { door.pursuer.start(o, sending.answer) }) })
+	w.after(w.latency(), func() { door.do(func() { door.pursuer.start(sending) }) })
 	w.after(callerPatience, sending.giveUp)
 }
 
 // sending is one sending of an order, which gets one answer.
 type sending struct {
-	world    *world
-	order    *order
+	world *world
+	order *order
+	// attempts names what the door tried for this sending alone.
+	attempts []string
 	answered bool
 	gaveUp   bool
 }
@@ -170,7 +172,7 @@
 		return
 	}
 	s.answered = true
-	s.world.answered(s.order, f)
+	s.world.answered(s, f)
 }
 
 func (s *sending) giveUp() {
@@ -178,17 +180,18 @@
 		return
 	}
 	s.gaveUp = true
-	s.world.answered(s.order, final{outcome: ibisid.OutcomeUnknown})
+	s.world.answered(s, final{outcome: ibisid.OutcomeUnknown})
 }
 
 // callerPatience is how long a caller waits for any answer; a door that died or froze gives none.
 const callerPatience = 6 * time.Second
 
-func (p *pursuer) start(o *order, done func(final)) {
+func (p *pursuer) start(sent *sending) {
 	n := p.node
+	o := sent.order
 	doc := n.follows.Current()
 	if doc == nil || n.follows.Stale() {
-		p.reply(done, final{outcome: ibisid.OutcomeNotRun})
+		p.reply(sent.answer, final{outcome: ibisid.OutcomeNotRun})
 		return
 	}
 	match, _ := doc.MatchRoute(o.method, "", o.path)
@@ -201,9 +204,9 @@
 	id := p.nextID
 	pursuit := &pursuit{
 		order:    o,
+		sent:     sent,
 		deadline: n.Now().Add(budget),
 		answers:  make(map[ibisretry.Attempt]final),
-		done:     done,
 	}
 	p.pursuits[id] = pursuit
 	p.apply(id, p.policy.Update(ibisretry.StartEvent{
@@ -249,7 +252,7 @@
 			pursuit.ended = true
 			f := pursuit.answers[e.Attempt]
 			f.outcome = e.Outcome
-			p.reply(pursuit.done, f)
+			p.reply(pursuit.sent.answer, f)
 		}
 	}
 }
@@ -325,6 +328,7 @@
 // forward brings an attempt to another node, or to this one, and its answer back.
 func (p *pursuer) forward(pursuit *pursuit, to ibisowner.Peer, role, attempt string, done func(final, ibisid.Member)) {
 	w := p.node.world
+	pursuit.sent.attempts = append(pursuit.sent.attempts, attempt)
 	remaining := pursuit.deadline.Sub(p.node.Now())
 	if remaining <= 0 {
 		done(final{outcome: ibisid.OutcomeNotRun}, ibisid.Member{})
--- a/internal/measure/ibiscell/promise.go
+++ b/internal/measure/ibiscell/promise.go
@@ -193,9 +193,12 @@
 	o.denied[attempt] = true
 }
 
-// checkFinal judges what a caller got.
-func (w *world) checkFinal(o *order, f final) {
-	if f.outcome == ibisid.OutcomeNotRun && !o.idempotent && len(o.finals) == 1 && o.runs > 0 {
+// checkFinal judges what a caller got. A refusal speaks of its own sending: an impatient caller may have sent the order through
+// another door as well, where it runs.
+func (w *world) checkFinal(s *sending, f final) {
+	o := s.order
+	ran := slices.ContainsFunc(s.attempts, func(attempt string) bool { return o.by[attempt] > 0 })
+	if f.outcome == ibisid.OutcomeNotRun && !o.idempotent && ran {
 		w.broken.add(w, NotRunTrue, "order %s ran and was answered not run", o.key)
 	}
 	if f.outcome != ibisid.OutcomeDone {
