A request that is woken too early is woken again

Traced: order ...1e3 was refused by the owner, its door set a time for the next attempt, the timer fired 1 ns before it, the retry policy did nothing and asked for no other time: the caller never got an answer. Two cells of clockDrift (coldBears, 9 requests on 8 slots for an instant) had one cause in the matrix itself: its backend server compared a time left on its own clock with a run on the world's. Change: the policy returns the same wake effect where it is woken early; the matrix rounds spans of a drifting clock up, as a timer never fires before its time, and its server converts the time left before it compares. Ruled out: a lost answer (the refusal reached the door), a door that died.

--- a/internal/measure/ibiscell/node.go
+++ b/internal/measure/ibiscell/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -189,7 +190,10 @@
 	return c.local.Add(time.Duration(float64(now.Sub(c.anchor)) * c.rate))
 }
 
-func (c *clock) real(d time.Duration) time.Duration { return time.Duration(float64(d) / c.rate) }
+// real returns how long a span of this clock takes, rounded up, since no timer fires before its time.
+func (c *clock) real(d time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(d) / c.rate))
+}
 
 func (c *clock) setRate(now time.Time, rate float64) {
 	c.local = c.at(now)
--- a/internal/measure/ibiscell/server.go
+++ b/internal/measure/ibiscell/server.go
@@ -101,9 +101,10 @@
 		took = coldTime
 	}
 	// A server keeps the deadline that it was told and ends what is late without an answer.
-	late := !request.Deadline.IsZero() && request.Deadline.Sub(s.node.Now()) < took
+	left := s.node.clock.real(request.Deadline.Sub(s.node.Now()))
+	late := !request.Deadline.IsZero() && left < took
 	if late {
-		took = s.node.clock.real(request.Deadline.Sub(s.node.Now()))
+		took = left
 	}
 	w.after(took, func() {
 		s.running--
--- a/internal/request/ibisretry/policy.go
+++ b/internal/request/ibisretry/policy.go
@@ -157,10 +157,7 @@
 		return nil
 	}
 	if again && p.schedule(r, now) {
-		return []Effect{WakeEffect{
-			ID: e.ID,
-			At: r.retryAt,
-		}}
+		return wakeAt(r, r.retryAt)
 	}
 	return p.end(r, e.Attempt, r.outcome(e.Outcome))
 }
@@ -208,20 +205,33 @@
 	return true
 }
 
+// wake does what was to be done at this time. A timer that follows a clock of another rate may fire a moment early; the
+// request would wait for ever if it were not woken again.
 func (p *Policy) wake(e WakeEvent, now time.Time) []Effect {
 	r := p.requests[e.ID]
-	if r == nil {
+	switch {
+	case r == nil:
 		return nil
-	}
-	if !r.retryAt.IsZero() && !now.Before(r.retryAt) {
+	case !r.retryAt.IsZero():
+		if now.Before(r.retryAt) {
+			return wakeAt(r, r.retryAt)
+		}
 		r.retryAt = time.Time{}
 		return []Effect{p.send(r, false)}
+	case r.hedgeAt.IsZero() || len(r.live) != 1:
+		return nil
+	case now.Before(r.hedgeAt):
+		return wakeAt(r, r.hedgeAt)
 	}
-	if !r.hedgeAt.IsZero() && !now.Before(r.hedgeAt) && len(r.live) == 1 {
-		r.hedgeAt = time.Time{}
-		return p.hedge(r)
-	}
-	return nil
+	r.hedgeAt = time.Time{}
+	return p.hedge(r)
+}
+
+func wakeAt(r *request, at time.Time) []Effect {
+	return []Effect{WakeEffect{
+		ID: r.start.ID,
+		At: at,
+	}}
 }
 
 func (p *Policy) hedge(r *request) []Effect {
--- a/internal/request/ibisretry/policy_test.go
+++ b/internal/request/ibisretry/policy_test.go
@@ -70,6 +70,26 @@
 		Entry("bounded tries", false, []ibisid.Outcome{ibisid.OutcomeNotRun}, ibisid.OutcomeNotRun, 4),
 	)
 
+	It("asks to be woken again where it is woken too early", func() {
+		p := newPolicy()
+		p.Update(ibisretry.StartEvent{
+			ID:       1,
+			Class:    "stock",
+			Deadline: start.Add(time.Second),
+		}, start)
+		wake := p.Update(ibisretry.AnswerEvent{
+			ID:      1,
+			Attempt: 1,
+			Outcome: ibisid.OutcomeNotRun,
+		}, start)
+		at := wake[0].(ibisretry.WakeEffect).At
+		Expect(p.Update(ibisretry.WakeEvent{ID: 1}, at.Add(-time.Nanosecond))).To(Equal(wake))
+		Expect(p.Update(ibisretry.WakeEvent{ID: 1}, at)).To(ConsistOf(ibisretry.SendEffect{
+			ID:      1,
+			Attempt: 2,
+		}))
+	})
+
 	It("stops retrying when nothing succeeds any more", func() {
 		p := newPolicy()
 		for i := range 1000 {
