--- a/internal/relay/ibisguard/spool.go
+++ b/internal/relay/ibisguard/spool.go
@@ -1,10 +1,14 @@
 package ibisguard
 
 import (
+	"errors"
 	"io"
 	"sync"
 )
 
+// errLongBody reports an answer with more bytes than its head announced.
+var errLongBody = errors.New("the body of the answer goes on after its length")
+
 // spool takes a long answer off the backend server as fast as that gives it, and hands it on as fast as the caller takes
 // it, so that a slow link doesn't hold the backend server's slot.
 type spool struct {
@@ -56,12 +60,11 @@
 
 // end reads the end of a body that has its length.
 func (s *spool) end() error {
-	var none [1]byte
-	n, err := s.from.Read(none[:])
-	if n > 0 {
-		return io.ErrShortBuffer
+	var extra [1]byte
+	if _, err := io.ReadFull(s.from, extra[:]); err != nil {
+		return err
 	}
-	return err
+	return errLongBody
 }
 
 // Read waits for bytes and returns them; it fails where the body breaks off.
