--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -171,6 +171,17 @@
 	return f.roster.First(domain, func(m ibisroster.Member) bool { return !m.Stopping && !f.down.Has(m.Node) })
 }
 
+// Reachable returns the other members that aren't stopping or known to be down, in random order.
+func (f *Front) Reachable() []ibisroster.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := f.roster.Where(func(m ibisroster.Member) bool {
+		return m.Node != f.settings.Node && !m.Stopping && !f.down.Has(m.Node)
+	})
+	f.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
 // Known returns the number of members.
 func (f *Front) Known() int {
 	f.mu.Lock()
--- a/internal/relay/ibisroster/roster.go
+++ b/internal/relay/ibisroster/roster.go
@@ -91,5 +91,16 @@
 	return first, first.Node != ""
 }
 
+// Where returns the members that the test takes, in no order.
+func (r *Roster) Where(takes func(m Member) bool) []Member {
+	var out []Member
+	for _, e := range r.members {
+		if takes(e.member) {
+			out = append(out, e.member)
+		}
+	}
+	return out
+}
+
 // Len returns the number of members.
 func (r *Roster) Len() int { return len(r.members) }
