Doors name no backend server; the gate sends to the one that it has

The doors had read the members' rows with the lives from before, and named these; the gates had heard of the new ones by their first heartbeat. Ruled out: wrong servers (the same instances, the same service); ownership (a key's standing is judged at the gate, for the life that it has). Change: an order names its service and key only. The gate still sends by the id of its own server, so that another life turns it away. The earlier rule guarded nothing that the gate doesn't check itself.

--- a/internal/program/ibiscli/explain.go
+++ b/internal/program/ibiscli/explain.go
@@ -65,7 +65,7 @@
 	"domainOut":     "operators took the failure domain out",
 	"serverFull":    "the backend server itself turned it away",
 	"serverEnded":   "the backend server's port took no connections",
-	"otherServer":   "another life of the backend server stood there than was known",
+	"otherServer":   "the node had no backend server of the service",
 	"keyElsewhere":  "another node owns the key; news of the move had not arrived",
 	"keyMoving":     "the key was on its way to another backend server",
 	"unreachable":   "no connection to the node could be opened",
--- a/internal/relay/ibisfront/attempt.go
+++ b/internal/relay/ibisfront/attempt.go
@@ -17,7 +17,6 @@
 // attempt sends an order to one node and tells the chooser how it went. A short answer is read whole, so that one that
 // breaks off counts as no answer.
 func (f *Front) attempt(ctx context.Context, p plan, member ibisroster.Member, order ibisorder.Order) ibisorder.Answer {
-	order.Server = member.Server.Life.ID
 	chooser, id, began := f.sent(p, member.Node, order.Class)
 	answer := f.peers.Send(ctx, member, order)
 	latency := f.clock.Now().Sub(began)
--- a/internal/relay/ibisguard/admit.go
+++ b/internal/relay/ibisguard/admit.go
@@ -81,7 +81,7 @@
 	switch {
 	case g.rules == nil:
 		return ibisorder.NotRun(ibisorder.ReasonNoConfig, 0, nil), false
-	case g.gate == nil || g.server.Service != order.Service || order.Server != "" && order.Server != g.server.Life.ID:
+	case g.gate == nil || g.server.Service != order.Service:
 		return ibisorder.NotRun(ibisorder.ReasonOtherServer, 0, nil), false
 	case g.stopping:
 		return ibisorder.NotRun(ibisorder.ReasonStopping, 0, nil), false
--- a/internal/relay/ibishop/wire.go
+++ b/internal/relay/ibishop/wire.go
@@ -22,7 +22,6 @@
 	ID          string             `json:"id"`
 	Origin      ibisid.ServiceName `json:"origin"`
 	Service     ibisid.ServiceName `json:"service"`
-	Server      string             `json:"server,omitempty"`
 	Class       ibisid.ClassName   `json:"class"`
 	Priority    int                `json:"priority,omitempty"`
 	Repeatable  bool               `json:"repeatable,omitempty"`
@@ -52,7 +51,6 @@
 		ID:          order.ID,
 		Origin:      order.Origin,
 		Service:     order.Service,
-		Server:      order.Server,
 		Class:       order.Class,
 		Priority:    order.Priority,
 		Repeatable:  order.Repeatable,
@@ -88,7 +86,6 @@
 		Length:      r.ContentLength,
 		Origin:      h.Origin,
 		Service:     h.Service,
-		Server:      h.Server,
 		Class:       h.Class,
 		Priority:    h.Priority,
 		Repeatable:  h.Repeatable,
--- a/internal/relay/ibisorder/answer.go
+++ b/internal/relay/ibisorder/answer.go
@@ -14,7 +14,7 @@
 const (
 	// ReasonServerFull means that the backend server itself turned the request away.
 	ReasonServerFull Reason = "serverFull"
-	// ReasonOtherServer means that the node has another backend server than the order names, or none.
+	// ReasonOtherServer means that the node has no backend server, or one of another service.
 	ReasonOtherServer Reason = "otherServer"
 	// ReasonServerEnded means that the backend server's port takes no connections.
 	ReasonServerEnded Reason = "serverEnded"
--- a/internal/relay/ibisorder/order.go
+++ b/internal/relay/ibisorder/order.go
@@ -34,8 +34,6 @@
 	Origin ibisid.ServiceName
 	// Service is the service that is to run the request.
 	Service ibisid.ServiceName
-	// Server is the id of the backend server that is to run it, empty for whichever the node has.
-	Server string
 	// Class is the request class, the name of its route.
 	Class ibisid.ClassName
 	// Priority is the rank of the class, where zero is the highest.
