--- a/internal/measure/ibiscell/mutation_test.go
+++ b/internal/measure/ibiscell/mutation_test.go
@@ -84,14 +84,14 @@
 			"internal/node/ibisowner/permit.go", "if p.holding.gone.Load() || p.keeper.lease.left(p.keeper.timer.Now()) <= 0 {", "if p.keeper == nil {",
 		}),
 		Entry("no takeover wait", matrix("--flow", "orderUnfenced", "--fault", "cutBothWays", "--fault", "cutIncoming", "--fault", "cutOutgoing", "--fault", "freeze"), "oneOwner", edit{
-			"internal/node/ibisowner/page.go", "wait := k.terms.TakeoverWait(", "wait := 0 * k.terms.TakeoverWait(",
+			"internal/node/ibisowner/takeover.go", "wait := k.terms.TakeoverWait(", "wait := 0 * k.terms.TakeoverWait(",
 		}),
 		Entry("memory dropped on a move", matrix("--flow", "stop", "--fault", "serverCold"), "atMostOnce", edit{
-			"internal/node/ibisowner/page.go", "if a.Inherited && arrived && core.Import(record, a.Token, ibistimer.Wall(k.timer, now)) {",
+			"internal/node/ibisowner/takeover.go", "if a.Inherited && arrived && core.Import(record, a.Token, ibistimer.Wall(k.timer, now)) {",
 			"if a.Inherited && arrived && record.Token > 0 {\n\t\t\tcore.Acquire(slot, a.Token, ibisonce.Fresh, ibistimer.Wall(k.timer, now))",
 		}),
 		Entry("takeover without memory taken for a fresh slot", matrix("--flow", "order", "--fault", "death"), "atMostOnce", edit{
-			"internal/node/ibisowner/page.go", "takeover := ibisonce.Lossy", "takeover := ibisonce.Fresh",
+			"internal/node/ibisowner/takeover.go", "takeover := ibisonce.Lossy", "takeover := ibisonce.Fresh",
 		}),
 		Entry("slot released before its requests finished", matrix("--flow", "stop", "--fault", "serverCold", "--fault", "messageLost"), "red: ", edit{
 			"internal/node/ibisowner/holdings.go", "	if found.running == 0 {\n		return true\n	}\n	found.idle = idle", "	if found.running >= 0 {\n		return true\n	}\n	found.idle = idle",
