--- a/internal/relay/ibisneighbor/detour.go
+++ b/internal/relay/ibisneighbor/detour.go
@@ -48,7 +48,7 @@
 	resting time.Time
 }
 
-// NewDetour returns a store that asks the nodes at the other addresses, the best first, while it doesn't serve this node.
+// NewDetour returns a store that asks the nodes at the other addresses, in that order, while the platform's store doesn't serve this one.
 func NewDetour(store ibisstore.Store, others func() []string, clock ibistimer.Service, log *zap.Logger) *Detour {
 	return &Detour{
 		Store:  store,
