A commit that another node makes goes out once, and its refusal always has an error

Read through as a newcomer: a refusal without an error would have been answered as an empty result, and nothing showed that a commit isn't sent again when a kept connection breaks under it. The first is mended; the second held already (Go sends a POST again only where nothing of it was written) and has a test now.

--- a/internal/relay/ibisneighbor/detour_test.go
+++ b/internal/relay/ibisneighbor/detour_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -158,6 +159,32 @@
 		Expect(refused.commits).To(HaveLen(2))
 	})
 
+	It("sends a commit once, also where the kept connection breaks under it", func() {
+		served := &view{
+			result: ibisstore.Result{
+				Outcome: ibisstore.OutcomeApplied,
+				Version: 8,
+			},
+		}
+		handler := ibisneighbor.DetourHandler(served, http.NotFoundHandler(), zap.NewNop())
+		var arrived atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if arrived.Add(1) == 1 {
+				handler.ServeHTTP(w, r)
+				return
+			}
+			conn, _, err := w.(http.Hijacker).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.Close()).To(Succeed())
+		}))
+		DeferCleanup(server.Close)
+		others = append(others, strings.TrimPrefix(server.URL, "http://"))
+		fail()
+		Expect(detour.Commit(context.Background(), commit).Outcome).To(Equal(ibisstore.OutcomeApplied))
+		Expect(detour.Commit(context.Background(), commit).Outcome).To(Equal(ibisstore.OutcomeUnknown))
+		Expect(arrived.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("doesn't know of a commit whose answer is lost, and asks nobody else for it", func() {
 		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 		DeferCleanup(server.Close)
--- a/internal/relay/ibisneighbor/detourserver.go
+++ b/internal/relay/ibisneighbor/detourserver.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -196,7 +197,7 @@
 	}
 	result := store.Commit(r.Context(), call.Commit.commit())
 	if result.Outcome == ibisstore.OutcomeRefused {
-		return nil, result.Err
+		return nil, fmt.Errorf("the store turns the commit away: %w", result.Err)
 	}
 	answer := wireResult{
 		Outcome: result.Outcome,
