One conversion of rows, one client and one loop serve both ways through other nodes

Read again as a whole. The detour wrote its own copies of what the neighbors' questions had: rows to wire rows and back, the HTTP client, and twice the loop over other nodes with a flag whether any was asked. They are one each now. Behaviour, tests and log lines are unchanged.

--- a/internal/measure/ibiscell/order.go
+++ b/internal/measure/ibiscell/order.go
@@ -67,7 +67,6 @@
 
 // pursuit is one request at a door.
 type pursuit struct {
-	order    *order
 	sent     *sending
 	number   int
 	deadline time.Time
@@ -203,7 +202,6 @@
 	p.nextID++
 	id := p.nextID
 	pursuit := &pursuit{
-		order:    o,
 		sent:     sent,
 		deadline: n.Now().Add(budget),
 		answers:  make(map[ibisretry.Attempt]final),
@@ -281,7 +279,7 @@
 
 // send makes one attempt: at the owner of the key, or at a chosen server.
 func (p *pursuer) send(id ibisretry.RequestID, pursuit *pursuit, attempt ibisretry.Attempt) {
-	o := pursuit.order
+	o := pursuit.sent.order
 	o.attempts++
 	name := fmt.Sprintf("%s/%d", o.key, o.attempts)
 	done := p.answer(id, attempt, p.node.Now())
@@ -338,7 +336,7 @@
 	once := func(f final, hint ibisid.Member) {
 		if !closed {
 			closed = true
-			w.noteAttempt(pursuit.order, attempt, f)
+			w.noteAttempt(pursuit.sent.order, attempt, f)
 			done(f, hint)
 		}
 	}
@@ -350,7 +348,7 @@
 	}
 	p.node.After(remaining+answerGrace, func(time.Time) { once(final{outcome: ibisid.OutcomeUnknown}, ibisid.Member{}) })
 	serve := func() {
-		target.serve(pursuit.order, role, attempt, remaining, func(f final, hint ibisid.Member) {
+		target.serve(pursuit.sent.order, role, attempt, remaining, func(f final, hint ibisid.Member) {
 			w.points("answered", target)
 			if target == p.node {
 				once(f, hint)
@@ -412,7 +410,7 @@
 		}, n.Now())
 	}
 	choice := p.chooser.Choose(ibischoose.Request{
-		Homes:   pursuit.order.homes,
+		Homes:   pursuit.sent.order.homes,
 		Exclude: pursuit.tried,
 	}, n.Now())
 	for _, s := range servers {
--- a/internal/node/ibisdocument/accept.go
+++ b/internal/node/ibisdocument/accept.go
@@ -87,5 +87,3 @@
 	defer k.mu.Unlock()
 	return slices.Clone(k.core.Tree().Domains())
 }
-
-// sleep reports false where the context ends before the pause is over.
--- a/internal/relay/ibisfront/front.go
+++ b/internal/relay/ibisfront/front.go
@@ -168,16 +168,17 @@
 func (f *Front) First(domain ibisid.DomainName) (ibisroster.Member, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.First(domain, func(m ibisroster.Member) bool { return !m.Stopping && !f.down.Has(m.Node) })
+	return f.roster.First(domain, f.answers)
 }
 
+// answers reports whether a member isn't stopping or known to be down; the lock is held.
+func (f *Front) answers(m ibisroster.Member) bool { return !m.Stopping && !f.down.Has(m.Node) }
+
 // Reachable returns the other members that aren't stopping or known to be down, in random order.
 func (f *Front) Reachable() []ibisroster.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := f.roster.Where(func(m ibisroster.Member) bool {
-		return m.Node != f.settings.Node && !m.Stopping && !f.down.Has(m.Node)
-	})
+	out := f.roster.Where(func(m ibisroster.Member) bool { return m.Node != f.settings.Node && f.answers(m) })
 	f.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
 }
--- a/internal/relay/ibisneighbor/detour.go
+++ b/internal/relay/ibisneighbor/detour.go
@@ -15,7 +15,6 @@
 	"go.uber.org/zap"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
-	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
 
@@ -55,48 +54,39 @@
 		others: others,
 		clock:  clock,
 		log:    log,
-		client: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         ibislink.Dialer(dialTimeout).DialContext,
-				MaxIdleConnsPerHost: 1,
-				IdleConnTimeout:     detourRest,
-			},
-			Timeout: detourTimeout,
-		},
+		client: newClient(detourTimeout, detourRest),
 	}
 }
 
 // Commit applies the changes if every condition holds.
 func (d *Detour) Commit(ctx context.Context, commit ibisstore.Commit) ibisstore.Result {
-	others := d.route()
-	for _, address := range others {
-		result := d.commit(ctx, address, commit)
-		if result.Outcome != ibisstore.OutcomeRefused {
-			return result
+	var result ibisstore.Result
+	if d.through("commit through another node", func(address string) error {
+		result = d.commit(ctx, address, commit)
+		if result.Outcome == ibisstore.OutcomeRefused {
+			return result.Err
 		}
-		d.log.Info("commit through another node", zap.String("asked", address), zap.Error(result.Err))
+		return nil
+	}) {
+		return result
 	}
-	d.rest(len(others) > 0)
-	result := d.Store.Commit(ctx, commit)
+	result = d.Store.Commit(ctx, commit)
 	d.note(result.Err)
 	return result
 }
 
 // Rows returns all rows of a partition.
 func (d *Detour) Rows(ctx context.Context, table, part string) (ibisstore.Snapshot, error) {
-	others := d.route()
-	for _, address := range others {
-		var out wireSnapshot
-		err := d.ask(ctx, address, wireCall{
+	var out wireSnapshot
+	if d.through("rows through another node", func(address string) error {
+		out = wireSnapshot{}
+		return d.ask(ctx, address, wireCall{
 			Table: table,
 			Part:  part,
 		}, &out)
-		if err == nil {
-			return out.snapshot(), nil
-		}
-		d.log.Info("rows through another node", zap.String("asked", address), zap.Error(err))
+	}) {
+		return out.snapshot(), nil
 	}
-	d.rest(len(others) > 0)
 	rows, err := d.Store.Rows(ctx, table, part)
 	d.note(err)
 	return rows, err
@@ -124,6 +114,25 @@
 	}
 }
 
+// through makes a call by way of other nodes, one after the other until one of them could make it, and reports whether one
+// could. Where none could the others are left alone for a while.
+func (d *Detour) through(line string, call func(address string) error) bool {
+	others := d.route()
+	for _, address := range others {
+		err := call(address)
+		if err == nil {
+			return true
+		}
+		d.log.Info(line, zap.String("asked", address), zap.Error(err))
+	}
+	if len(others) > 0 {
+		d.mu.Lock()
+		d.resting = d.clock.Now().Add(detourRest)
+		d.mu.Unlock()
+	}
+	return false
+}
+
 // route returns the nodes to ask, none while the store serves this node or turned the others away too.
 func (d *Detour) route() []string {
 	now := d.clock.Now()
@@ -137,16 +146,6 @@
 	return others[:min(len(others), detourNodes)]
 }
 
-// rest keeps the node from asking others for a while where none that it asked could help.
-func (d *Detour) rest(asked bool) {
-	if !asked {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.resting = d.clock.Now().Add(detourRest)
-}
-
 // commit asks another node for a commit. Its result is unknown where the question may have arrived and no answer came.
 func (d *Detour) commit(ctx context.Context, address string, commit ibisstore.Commit) ibisstore.Result {
 	var out wireResult
--- a/internal/relay/ibisneighbor/detourserver.go
+++ b/internal/relay/ibisneighbor/detourserver.go
@@ -43,23 +43,12 @@
 
 func newWireEntry(key ibisstore.Key, value []byte, version uint64) wireEntry {
 	return wireEntry{
-		Table: key.Table,
-		wireRow: wireRow{
-			Part:    key.Part,
-			Name:    key.Name,
-			Value:   value,
-			Version: version,
-		},
+		Table:   key.Table,
+		wireRow: newWireRow(key, value, version),
 	}
 }
 
-func (e wireEntry) key() ibisstore.Key {
-	return ibisstore.Key{
-		Table: e.Table,
-		Part:  e.Part,
-		Name:  e.Name,
-	}
-}
+func (e wireEntry) key() ibisstore.Key { return e.row(e.Table).Key }
 
 func newWireCommit(commit ibisstore.Commit) *wireCommit {
 	out := &wireCommit{}
@@ -98,9 +87,10 @@
 func newWireEntries(rows []ibisstore.Row) []wireEntry {
 	var out []wireEntry
 	for _, row := range rows {
-		e := newWireEntry(row.Key, row.Value, row.Version)
-		e.Removed = row.Removed
-		out = append(out, e)
+		out = append(out, wireEntry{
+			Table:   row.Key.Table,
+			wireRow: wireRowOf(row),
+		})
 	}
 	return out
 }
@@ -108,12 +98,7 @@
 func rowsOf(entries []wireEntry) []ibisstore.Row {
 	var out []ibisstore.Row
 	for _, e := range entries {
-		out = append(out, ibisstore.Row{
-			Key:     e.key(),
-			Value:   e.Value,
-			Version: e.Version,
-			Removed: e.Removed,
-		})
+		out = append(out, e.row(e.Table))
 	}
 	return out
 }
--- a/internal/relay/ibisneighbor/server.go
+++ b/internal/relay/ibisneighbor/server.go
@@ -30,6 +30,35 @@
 	Removed bool   `json:"removed,omitempty"`
 }
 
+func newWireRow(key ibisstore.Key, value []byte, version uint64) wireRow {
+	return wireRow{
+		Part:    key.Part,
+		Name:    key.Name,
+		Value:   value,
+		Version: version,
+	}
+}
+
+// row returns the row of the table, whose name the question told.
+func (r wireRow) row(table string) ibisstore.Row {
+	return ibisstore.Row{
+		Key: ibisstore.Key{
+			Table: table,
+			Part:  r.Part,
+			Name:  r.Name,
+		},
+		Value:   r.Value,
+		Version: r.Version,
+		Removed: r.Removed,
+	}
+}
+
+func wireRowOf(row ibisstore.Row) wireRow {
+	out := newWireRow(row.Key, row.Value, row.Version)
+	out.Removed = row.Removed
+	return out
+}
+
 // Handler answers neighbors' questions for changes from a copy, and hands everything else to the next handler.
 func Handler(own *Copy, next http.Handler, log *zap.Logger) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -78,13 +107,7 @@
 		Version: changes.Version,
 	}
 	for _, row := range changes.Rows {
-		body.Rows = append(body.Rows, wireRow{
-			Part:    row.Key.Part,
-			Name:    row.Key.Name,
-			Value:   row.Value,
-			Version: row.Version,
-			Removed: row.Removed,
-		})
+		body.Rows = append(body.Rows, wireRowOf(row))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Encoding", "gzip")
--- a/internal/relay/ibisneighbor/store.go
+++ b/internal/relay/ibisneighbor/store.go
@@ -22,7 +22,7 @@
 	heldFor = 4 * time.Second
 	// askTimeout is how long an answer may take: a held question and a second on a busy instance.
 	askTimeout = heldFor + time.Second
-	// dialTimeout is how long a connection within a failure domain may take to open.
+	// dialTimeout is how long a connection to a node may take to open: many times the way between two regions.
 	dialTimeout = 500 * time.Millisecond
 	// avoidFor is how long a neighbor isn't asked again that gave no answer: a node that was killed is back by then.
 	avoidFor = 5 * time.Second
@@ -54,14 +54,19 @@
 		neighbor: neighbor,
 		clock:    clock,
 		log:      log,
-		client: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         ibislink.Dialer(dialTimeout).DialContext,
-				MaxIdleConnsPerHost: 1,
-				IdleConnTimeout:     askTimeout,
-			},
-			Timeout: askTimeout,
+		client:   newClient(askTimeout, askTimeout),
+	}
+}
+
+// newClient returns a client of other nodes; a call takes the timeout at most, and one idle connection to a node is kept.
+func newClient(timeout, idle time.Duration) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         ibislink.Dialer(dialTimeout).DialContext,
+			MaxIdleConnsPerHost: 1,
+			IdleConnTimeout:     idle,
 		},
+		Timeout: timeout,
 	}
 }
 
@@ -125,16 +130,7 @@
 		Gathered: true,
 	}
 	for _, row := range changes.Rows {
-		out.Rows = append(out.Rows, ibisstore.Row{
-			Key: ibisstore.Key{
-				Table: s.table,
-				Part:  row.Part,
-				Name:  row.Name,
-			},
-			Value:   row.Value,
-			Version: row.Version,
-			Removed: row.Removed,
-		})
+		out.Rows = append(out.Rows, row.row(s.table))
 	}
 	return out, nil
 }
