platform: a part of the configuration that can't be used takes out itself alone

Cause: one unknown word (a kind) or one field of another type made each node refuse the whole configuration. Change: parts are decoded one by one.

--- a/internal/relay/ibisdispatch/plan.go
+++ b/internal/relay/ibisdispatch/plan.go
@@ -9,6 +9,9 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 )
 
+// faultyRouteRetryAfter is the retry-after time for a route whose configuration can't be used: the operator must correct it.
+const faultyRouteRetryAfter = time.Second
+
 var errTooLong = errors.New("body is longer than the configuration allows")
 
 // readBody returns a body of up to maxBufferedBodyBytes in memory; for a longer one it also returns a reader of the rest.
@@ -45,6 +48,9 @@
 	if !ok {
 		return plan{}, ibismessage.NotRun(ibismessage.ReasonNoRoute, 0, nil), false
 	}
+	if route.Fault != nil {
+		return plan{}, ibismessage.NotRun(ibismessage.ReasonFaultyRoute, d.jitter(faultyRouteRetryAfter), route.Fault), false
+	}
 	service, _ := d.config.Service(d.splitter.Next(d.config.Version(), route))
 	timeout := route.Timeout
 	if r.CallerTimeout > 0 {
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -44,6 +44,8 @@
 	ReasonHeaderTooLong Reason = "headerTooLong"
 	// ReasonNoRoute means that no route matches.
 	ReasonNoRoute Reason = "noRoute"
+	// ReasonFaultyRoute means that the configuration of the matching route can't be used.
+	ReasonFaultyRoute Reason = "faultyRoute"
 	// ReasonNoConfig means that no configuration is known yet.
 	ReasonNoConfig Reason = "noConfig"
 	// ReasonBadRequest means that the request is malformed.
