Grants by calls: one manager, two deliveries

Cause: the new deployment's backend servers are granted keys by calls (POST /-/grant, /-/release), not in answers to heartbeats; nobody made these calls, so every request for a key got 421. Change: ibisrange keeps one decision of what a backend server may hold; heartbeatDelivery and callDelivery carry it out. Ruled out: a second manager for calls (two leases and pages to keep in step); shorter holds than by heartbeat (an unanswered call would free keys sooner, but every outage of a call's answer would cost renewals). Tests: the simulation runs every test over both deliveries, with clocks of nodes, backend servers and store that drift by 2%, late answers of the store, and calls that are lost or carried out 2 to 12 s late: no violation in 150 seeds of faults, 60 of recovery and the fault matrix for each delivery.

--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -31,6 +31,12 @@
 		p.put(c, "")
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if request.Begin != nil {
+		if err := request.Begin(&request); err != nil {
+			p.put(c, "")
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	x := &exchange{
 		pool: p,
 		conn: c,
--- a/internal/relay/ibislink/pool.go
+++ b/internal/relay/ibislink/pool.go
@@ -27,6 +27,8 @@
 	IDHeader string
 	// MaxOpen is the maximum number of open connections; zero means no limit.
 	MaxOpen int
+	// MayDial, if set, is called before a connection is opened; no connection is opened if it fails.
+	MayDial func() error
 }
 
 // Pool holds connections to one address; it is safe for concurrent use.
@@ -114,6 +116,11 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	if p.options.MayDial != nil {
+		if err := p.options.MayDial(); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	p.mu.Lock()
 	if p.options.MaxOpen > 0 && p.open >= p.options.MaxOpen {
 		p.mu.Unlock()
--- a/internal/relay/ibislink/request.go
+++ b/internal/relay/ibislink/request.go
@@ -21,6 +21,9 @@
 	Body io.Reader
 	// Length is the length of the body in bytes, -1 if unknown.
 	Length int64
+	// Begin, if set, is called when a connection is ready, right before the request is written to it, and may change the body.
+	// If it fails, nothing is written.
+	Begin func(r *Request) error
 	// ID is the id that the response must repeat in the header Options.IDHeader; empty if responses carry none.
 	ID string
 }
--- a/internal/relay/ibisrange/commit.go
+++ b/internal/relay/ibisrange/commit.go
@@ -59,6 +59,7 @@
 		m.pending = nil
 		if e.Result.Version > m.pageVersion {
 			m.page, m.pageVersion, m.pageKnown = p.page, e.Result.Version, true
+			m.pruneSpent()
 		}
 	case ibisstore.OutcomeConflict:
 		m.pending = nil
--- a/internal/relay/ibisrange/event.go
+++ b/internal/relay/ibisrange/event.go
@@ -66,6 +66,8 @@
 	OutDomains ibisset.Set[ibisid.DomainName]
 	// HomeRegions lists the regions that may own keys; if it is empty, all may.
 	HomeRegions []ibisid.RegionName
+	// Delivery is how grants reach the backend server; if it is empty, Config.Delivery applies.
+	Delivery Delivery
 }
 
 // PageEvent delivers the page's row from the feed of changes.
@@ -92,6 +94,36 @@
 	Result ibisstore.Result
 }
 
+// CallReadyEvent reports that a connection is ready for a CallEffect; a CallStartEffect answers it.
+type CallReadyEvent struct {
+	// ID is the ID of the CallEffect.
+	ID uint64
+}
+
+// CallOutcome is the outcome of a call to the backend server.
+type CallOutcome string
+
+const (
+	// CallAccepted means that the backend server carried the call out.
+	CallAccepted CallOutcome = "accepted"
+	// CallSuperseded means that the backend server has seen a higher token and rejected the grant.
+	CallSuperseded CallOutcome = "superseded"
+	// CallNotSent means that no byte of the call was written.
+	CallNotSent CallOutcome = "notSent"
+	// CallUnanswered means that no valid answer arrived: the call may have been carried out, or may be later.
+	CallUnanswered CallOutcome = "unanswered"
+)
+
+// CallEvent reports the outcome of a CallEffect.
+type CallEvent struct {
+	// ID is the ID of the CallEffect.
+	ID uint64
+	// Outcome is the outcome of the call.
+	Outcome CallOutcome
+	// Handover is the backend server's text for the next owner, after an accepted release.
+	Handover string
+}
+
 // RefreshEvent asks for a read of the page, as another node has referred to a newer version.
 type RefreshEvent struct{}
 
@@ -106,6 +138,8 @@
 func (PageEvent) isEvent()         {}
 func (ReadEvent) isEvent()         {}
 func (CommitEvent) isEvent()       {}
+func (CallReadyEvent) isEvent()    {}
+func (CallEvent) isEvent()         {}
 func (RefreshEvent) isEvent()      {}
 func (TickEvent) isEvent()         {}
 
@@ -131,6 +165,36 @@
 	HoldFor time.Duration
 }
 
+// CallKind is what a call asks of the backend server.
+type CallKind string
+
+const (
+	// CallGrant grants a span or renews its grant.
+	CallGrant CallKind = "grant"
+	// CallRelease takes a span back.
+	CallRelease CallKind = "release"
+)
+
+// CallEffect requests a call to the backend server. Once a connection is ready, a CallReadyEvent asks for its start; a
+// CallEvent ends it.
+type CallEffect struct {
+	// ID identifies the call.
+	ID uint64
+	// Kind is what the call asks for.
+	Kind CallKind
+	// Incarnation identifies the run of the backend server that the call is for.
+	Incarnation ibisroster.ServerIncarnation
+	Grant
+}
+
+// CallStartEffect answers a CallReadyEvent.
+type CallStartEffect struct {
+	// Allowed reports whether the call may be written; otherwise its CallEvent is due with CallNotSent.
+	Allowed bool
+	// HoldFor is how long a grant is valid, counted from the arrival of the call; zero for a release.
+	HoldFor time.Duration
+}
+
 // ReadEffect requests a read of the service's partitions; a ReadEvent answers it.
 type ReadEffect struct {
 	// Pages selects the partition of TablePages.
@@ -174,6 +238,8 @@
 }
 
 func (GrantEffect) isEffect()       {}
+func (CallEffect) isEffect()        {}
+func (CallStartEffect) isEffect()   {}
 func (ReadEffect) isEffect()        {}
 func (InvalidPageEffect) isEffect() {}
 func (CommitEffect) isEffect()      {}
--- a/internal/relay/ibisrange/fault_matrix_test.go
+++ b/internal/relay/ibisrange/fault_matrix_test.go
@@ -55,10 +55,7 @@
 			sim.replaceServer(sim.nodes[1])
 		}},
 		{name: "backend server joins", start: func(sim *simulation) {
-			n := &node{name: "n9"}
-			sim.nodes = append(sim.nodes, n)
-			sim.startNode(n)
-			sim.startServer(n, "s9")
+			sim.addNode("9")
 		}},
 		{name: "domain excluded", start: func(sim *simulation) { sim.setExcluded(sim.nodes[2], true) }, restore: func(sim *simulation) { sim.setExcluded(sim.nodes[2], false) }},
 	}
@@ -122,8 +119,8 @@
 }
 
 // runWithFault runs an operation with a fault at the commit with the given ordinal and returns the violations.
-func runWithFault(op operation, ordinal int, fault faultCase) []string {
-	sim := newSimulation(uint64(ordinal), 4)
+func runWithFault(delivery ibisrange.Delivery, op operation, ordinal int, fault faultCase) []string {
+	sim := newSimulation(uint64(ordinal), 4, delivery)
 	sim.lateHeartbeatShare = 0
 	sim.run(12 * time.Second)
 	seen := 0
@@ -151,20 +148,22 @@
 }
 
 var _ = Describe("Every fault at every commit of every ownership operation", func() {
-	for _, op := range operations() {
-		It("leaves one holder per key, increasing tokens and, in the end, every key served: "+op.name, func() {
-			for ordinal := 1; ordinal <= maxFaultedCommits; ordinal++ {
-				for _, fault := range faultCases() {
-					Expect(runWithFault(op, ordinal, fault)).To(BeEmpty(), "%s, commit %d, %s", op.name, ordinal, fault.name)
+	for _, delivery := range deliveries {
+		for _, op := range operations() {
+			It(fmt.Sprintf("leaves one holder per key, increasing tokens and, in the end, every key served: %s, by %s", op.name, delivery), func() {
+				for ordinal := 1; ordinal <= maxFaultedCommits; ordinal++ {
+					for _, fault := range faultCases() {
+						Expect(runWithFault(delivery, op, ordinal, fault)).To(BeEmpty(), "%s, commit %d, %s", op.name, ordinal, fault.name)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 
 	// Verifies that the simulation detects faults: each condition on which sole ownership depends is removed in turn, and random
 	// faults must reveal it.
 	DescribeTable("detects managers whose commits lack a condition",
-		func(table string) {
+		func(delivery ibisrange.Delivery, table string) {
 			dropCondition := func(c *ibisstore.Commit) {
 				var kept []ibisstore.Condition
 				for _, condition := range c.Conditions {
@@ -176,7 +175,7 @@
 			}
 			const seeds = 60
 			for seed := range uint64(seeds) {
-				sim := newSimulation(seed, 4)
+				sim := newSimulation(seed, 4, delivery)
 				sim.editCommit = dropCondition
 				sim.run(6 * time.Second)
 				for range 14 {
@@ -190,7 +189,9 @@
 			}
 			Fail("no violation found without the condition on " + table)
 		},
-		Entry("on the page", ibisrange.TablePages),
-		Entry("on the lost node's lease", ibisrange.TableLeases),
+		Entry("on the page, by heartbeat", ibisrange.DeliveryHeartbeat, ibisrange.TablePages),
+		Entry("on the lost node's lease, by heartbeat", ibisrange.DeliveryHeartbeat, ibisrange.TableLeases),
+		Entry("on the page, by call", ibisrange.DeliveryCall, ibisrange.TablePages),
+		Entry("on the lost node's lease, by call", ibisrange.DeliveryCall, ibisrange.TableLeases),
 	)
 })
--- a/internal/relay/ibisrange/heartbeat.go
+++ b/internal/relay/ibisrange/heartbeat.go
@@ -16,97 +16,129 @@
 		m.resetServer(e, now)
 	}
 	s.seq = e.Seq
-	s.lastHeartbeat = now
+	s.lastContact = now
 	s.ended = false
 	s.draining = s.draining || e.Draining
 	s.reported = e.Holds
 	for _, r := range e.Released {
 		s.release(r)
 	}
-	s.dropUnreportedGrants(now)
-	m.emit(m.answer(now))
+	m.delivery.applyReport(s, now)
+	m.emit(m.delivery.answer(m, now))
 }
 
 // resetServer replaces the state of the backend server when a new run of it sends its first heartbeat. The new run listens on
 // the same port, so the old run has ended. Spans that the new run reports as held may have been granted by an earlier run of
 // this node.
 func (m *Manager) resetServer(e HeartbeatEvent, now time.Time) {
+	firstRun := m.server.incarnation.IsZero()
 	m.server = server{
 		incarnation:    e.Incarnation,
 		firstHeartbeat: now,
 		grantedUntil:   now,
 	}
 	for _, h := range e.Holds {
-		m.server.grants = addGrant(m.server.grants, h.Span, now)
+		m.server.addGrant(grantedSpan{
+			Span:      h.Span,
+			token:     h.Token,
+			grantedAt: now,
+			until:     now.Add(m.maxGrantDuration()),
+		})
 	}
-	if len(e.Holds) > 0 {
-		m.server.grantedUntil = now.Add(m.maxGrantDuration())
+	if firstRun {
+		m.delivery.assumeEarlierGrants(m, now)
 	}
 }
 
 // maxGrantDuration returns how long, by the node's clock, a backend server can hold a granted span at most.
 func (m *Manager) maxGrantDuration() time.Duration {
-	return time.Duration(float64(m.config.MaxGrant) * (1 + clockDriftMargin))
+	return withDrift(m.config.MaxGrant)
 }
 
-// release records a span that the backend server has released, with its handover text, and subtracts it from the grants.
+// release records a span that the backend server has released, with its handover text, and subtracts it from the grants. An
+// unconfirmed grant stays: it may be applied after the release.
 func (s *server) release(r Released) {
 	s.released = append(s.released, r)
-	var rest []grantedSpan
-	for _, g := range s.grants {
+	grants := s.grants
+	s.grants = nil
+	for _, g := range grants {
+		if g.unconfirmed {
+			s.addGrant(g)
+			continue
+		}
 		for _, part := range g.Subtract(r.Span) {
-			rest = addGrant(rest, part, g.grantedAt)
+			s.addGrant(g.withSpan(part))
 		}
 	}
-	s.grants = rest
 }
 
-// addGrant adds a span with the time of its grant. Each span is listed once: otherwise parts of spans that a backend server
-// reports twice would double with every heartbeat.
-func addGrant(list []grantedSpan, span Span, at time.Time) []grantedSpan {
-	for i := range list {
-		if list[i].Span != span {
+// withSpan returns the grant for another span.
+func (g grantedSpan) withSpan(span Span) grantedSpan {
+	g.Span = span
+	return g
+}
+
+// addGrant adds a grant. Confirmed grants of one span are listed once: otherwise parts of spans that a backend server reports
+// twice would double with every heartbeat.
+func (s *server) addGrant(g grantedSpan) {
+	if g.until.After(s.grantedUntil) {
+		s.grantedUntil = g.until
+	}
+	for i := range s.grants {
+		known := &s.grants[i]
+		if known.Span != g.Span || known.unconfirmed || g.unconfirmed {
 			continue
 		}
-		if at.After(list[i].grantedAt) {
-			list[i].grantedAt = at
+		if g.grantedAt.After(known.grantedAt) {
+			known.grantedAt, known.token = g.grantedAt, g.token
+		}
+		if g.until.After(known.until) {
+			known.until = g.until
 		}
-		return list
+		return
 	}
-	return append(list, grantedSpan{
-		Span:      span,
-		grantedAt: at,
-	})
+	s.grants = append(s.grants, g)
 }
 
 // dropUnreportedGrants drops the parts of grants that the backend server doesn't report as held, once no answer that grants
 // them can still arrive.
 func (s *server) dropUnreportedGrants(now time.Time) {
-	var rest []grantedSpan
-	for _, g := range s.grants {
+	grants := s.grants
+	s.grants = nil
+	for _, g := range grants {
 		if now.Sub(g.grantedAt) < answerLifetime {
-			rest = addGrant(rest, g.Span, g.grantedAt)
+			s.addGrant(g)
 			continue
 		}
 		for _, h := range s.reported {
 			if part, ok := g.Intersect(h.Span); ok {
-				rest = addGrant(rest, part, g.grantedAt)
+				s.addGrant(g.withSpan(part))
 			}
 		}
 	}
-	s.grants = rest
 }
 
 func (s *server) reportsOverlap(span Span) bool {
 	return slices.ContainsFunc(s.reported, func(h Held) bool { return h.Overlaps(span) })
 }
 
-// isFree reports whether the backend server holds no part of the span and no answer in flight can grant it one.
+// isFree reports whether the backend server holds no part of the span and no answer or call in flight can grant it one.
 func (s *server) isFree(span Span, now time.Time) bool {
-	if s.incarnation.IsZero() || s.ended || !now.Before(s.grantedUntil) {
+	if s.incarnation.IsZero() || s.ended {
 		return true
 	}
-	return !s.reportsOverlap(span) && !slices.ContainsFunc(s.grants, func(g grantedSpan) bool { return g.Overlaps(span) })
+	if s.hasCall(span) {
+		return false
+	}
+	if !now.Before(s.grantedUntil) {
+		return true
+	}
+	return !s.reportsOverlap(span) && !s.mayHold(span, now)
+}
+
+// mayHold reports whether a grant that has not ended covers a part of the span.
+func (s *server) mayHold(span Span, now time.Time) bool {
+	return slices.ContainsFunc(s.grants, func(g grantedSpan) bool { return g.Overlaps(span) && now.Before(g.until) })
 }
 
 // handover returns the text that the backend server left when it released the span, empty if it left none.
@@ -119,52 +151,12 @@
 	return ""
 }
 
-// answer returns the answer to a heartbeat. It grants the backend server every range that it may hold, for no longer than the
-// lease is valid, and renews nothing if the lease or the page doesn't allow a grant. A draining backend server gets an
-// answer without grants, so that it releases its ranges.
-func (m *Manager) answer(now time.Time) GrantEffect {
-	s := &m.server
-	if !m.sharded {
-		return GrantEffect{}
-	}
-	if s.draining {
-		return GrantEffect{
-			Renews:  true,
-			HoldFor: minGrant,
-		}
-	}
+// holdTime returns how long a grant that is given now may be valid, so that it ends before the lease does, and whether the
+// lease and the page allow a grant.
+func (m *Manager) holdTime(now time.Time) (time.Duration, bool) {
 	holdFor := time.Duration(float64(m.lease.until.Sub(now)-grantSlack) / (1 + clockDriftMargin))
 	holdFor = min(holdFor, m.config.MaxGrant)
-	if !m.leaseValid(now) || m.pageStale || !m.pageKnown || holdFor < minGrant {
-		return GrantEffect{}
-	}
-	effect := GrantEffect{
-		Renews:  true,
-		HoldFor: holdFor,
-	}
-	for _, r := range m.page.Ranges {
-		if !m.grantable(r) {
-			continue
-		}
-		effect.Grants = append(effect.Grants, Grant{
-			Span:     r.Span,
-			Token:    r.Token,
-			Handover: r.Handover,
-		})
-		s.recordGrant(r.Span, now)
-	}
-	if len(effect.Grants) > 0 {
-		until := now.Add(time.Duration(float64(holdFor) * (1 + clockDriftMargin)))
-		if until.After(s.grantedUntil) {
-			s.grantedUntil = until
-		}
-	}
-	return effect
-}
-
-func (s *server) recordGrant(span Span, now time.Time) {
-	s.released = slices.DeleteFunc(s.released, func(r Released) bool { return r.Overlaps(span) })
-	s.grants = addGrant(s.grants, span, now)
+	return holdFor, m.leaseValid(now) && !m.pageStale && m.pageKnown && holdFor >= minGrant
 }
 
 // grantable reports whether the range may be granted to the own backend server.
@@ -173,10 +165,16 @@
 	if r.Owner != (Owner{
 		Node:        m.config.Node,
 		Incarnation: s.incarnation,
-	}) || r.Next != "" || s.draining || s.ended {
+	}) || s.isSpent(r) {
 		return false
 	}
-	return !m.isExcluded() && !m.hasPendingTransfer(r)
+	return m.grantableUnderNewToken(r) && !m.hasPendingTransfer(r)
+}
+
+// grantableUnderNewToken reports whether nothing but its token keeps a range of the own backend server from being granted.
+func (m *Manager) grantableUnderNewToken(r Range) bool {
+	s := &m.server
+	return r.Next == "" && !s.draining && !s.ended && !m.isExcluded()
 }
 
 // hasPendingTransfer reports whether a commit that may still take effect gives the range to another owner or plans its move.
--- a/internal/relay/ibisrange/keystate.go
+++ b/internal/relay/ibisrange/keystate.go
@@ -29,7 +29,7 @@
 	if r.Owner.Node != m.config.Node {
 		return KeyStateElsewhere, r.Owner.Node
 	}
-	if now.Before(m.server.grantedUntil) && m.server.wasGranted(key) && m.grantable(r) {
+	if m.server.wasGranted(key, now) && m.grantable(r) {
 		return KeyStateHeld, r.Owner.Node
 	}
 	if r.Next != "" || m.server.draining || m.server.ended {
@@ -38,9 +38,10 @@
 	return KeyStatePending, r.Owner.Node
 }
 
-func (s *server) wasGranted(key int) bool {
+// wasGranted reports whether a confirmed grant of the key has not ended.
+func (s *server) wasGranted(key int, now time.Time) bool {
 	for _, g := range s.grants {
-		if g.From <= key && key <= g.To {
+		if g.From <= key && key <= g.To && !g.unconfirmed && now.Before(g.until) {
 			return true
 		}
 	}
--- a/internal/relay/ibisrange/lease.go
+++ b/internal/relay/ibisrange/lease.go
@@ -95,7 +95,7 @@
 	if s.incarnation.IsZero() {
 		return false
 	}
-	return !s.ended || m.Owns() || now.Sub(s.lastHeartbeat) < m.config.LeaseTerm
+	return !s.ended || m.Owns() || now.Sub(s.lastContact) < m.config.LeaseTerm
 }
 
 func (m *Manager) emitDueRenewal(now time.Time) {
--- a/internal/relay/ibisrange/manager.go
+++ b/internal/relay/ibisrange/manager.go
@@ -54,6 +54,8 @@
 	LeaseTerm time.Duration
 	// RenewInterval is the time between two renewals.
 	RenewInterval time.Duration
+	// Delivery is how grants reach the backend server unless a PolicyEvent says otherwise; DeliveryHeartbeat if it is empty.
+	Delivery Delivery
 }
 
 // Manager decides on the ranges of one service at one node. It is not safe for concurrent use.
@@ -65,6 +67,7 @@
 	members         []ibisroster.Member
 
 	server       server
+	delivery     delivery
 	lease        lease
 	peers        map[ibisid.NodeName]peerLease
 	leasesReadAt time.Time
@@ -83,33 +86,48 @@
 	dutySince    time.Time
 	rebalancedAt time.Time
 	lastCommitID uint64
+	lastCallID   uint64
 	effects      []Effect
 }
 
 // server is the state of the backend server beside the node.
 type server struct {
-	incarnation    ibisroster.ServerIncarnation
-	seq            uint64
-	draining       bool
-	ended          bool
-	lastHeartbeat  time.Time
+	incarnation ibisroster.ServerIncarnation
+	seq         uint64
+	draining    bool
+	ended       bool
+	// lastContact is when the backend server last sent a heartbeat or answered a call.
+	lastContact    time.Time
 	firstHeartbeat time.Time
-	grantedUntil   time.Time
-	grants         []grantedSpan
-	reported       []Held
-	released       []Released
+	// grantedUntil is the latest end of all grants.
+	grantedUntil time.Time
+	grants       []grantedSpan
+	reported     []Held
+	released     []Released
+	// calls lists the calls that have no outcome yet.
+	calls []call
+	// callPauses lists the spans for which no call is due for a while after one failed.
+	callPauses []callPause
+	// spent lists the tokens under which spans are never granted again.
+	spent []spentToken
 }
 
-// grantedSpan is a span that the backend server may hold because the answer to a heartbeat granted it.
+// grantedSpan is a span that the backend server may hold.
 type grantedSpan struct {
 	Span
+	token     ibisid.Token
 	grantedAt time.Time
+	// until is the latest end of the grant by the node's clock.
+	until time.Time
+	// unconfirmed means that the grant may be applied later than a release that was sent after it.
+	unconfirmed bool
 }
 
 // New returns a manager without members, page or lease.
 func New(config Config) *Manager {
 	return &Manager{
 		config:    config,
+		delivery:  deliveries[config.Delivery],
 		peers:     make(map[ibisid.NodeName]peerLease),
 		pageStale: true,
 	}
@@ -134,12 +152,17 @@
 		m.members = e.Members
 	case PolicyEvent:
 		m.sharded, m.excludedDomains, m.homeRegions = e.Sharded, e.OutDomains, e.HomeRegions
+		m.setDelivery(e.Delivery, now)
 	case PageEvent:
 		m.applyPage(e.Row)
 	case ReadEvent:
 		m.handleRead(e, now)
 	case CommitEvent:
 		m.handleCommit(e, now)
+	case CallReadyEvent:
+		m.startCall(e, now)
+	case CallEvent:
+		m.handleCall(e, now)
 	case RefreshEvent:
 		m.refreshRequested = now.Sub(m.refreshedAt) >= minRefreshInterval
 	case TickEvent:
@@ -212,6 +235,7 @@
 	m.page = page
 	m.pageVersion = row.Version
 	m.pageKnown = true
+	m.pruneSpent()
 	if m.pending != nil && !m.pending.sent {
 		// A newer page settles a commit that got no answer: the commit has taken effect or it never will.
 		m.pending = nil
@@ -241,6 +265,7 @@
 func (m *Manager) emitDueEffects(now time.Time) {
 	m.emitDueRenewal(now)
 	m.emitDueRead(now)
+	m.delivery.emitDueCalls(m, now)
 	if m.pending != nil {
 		if !m.pending.sent && !now.Before(m.pending.retryAt) {
 			m.pending.sent = true
--- a/internal/relay/ibisrange/manager_test.go
+++ b/internal/relay/ibisrange/manager_test.go
@@ -9,11 +9,23 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisrange"
 )
 
-var _ = Describe("Managers under faults", func() {
+// deliveries lists the ways in which grants reach backend servers; every test of ownership runs over each.
+var deliveries = []ibisrange.Delivery{ibisrange.DeliveryHeartbeat, ibisrange.DeliveryCall}
+
+var _ = Describe("With grants delivered by", func() {
+	for _, delivery := range deliveries {
+		Context(string(delivery), func() {
+			describeManagersUnderFaults(delivery)
+			describeManager(delivery)
+		})
+	}
+})
+
+func describeManagersUnderFaults(delivery ibisrange.Delivery) {
 	It("never let two backend servers hold one key, and never lower a token", func() {
 		const seeds = 150
 		for seed := range uint64(seeds) {
-			sim := newSimulation(seed, 3+int(seed%4))
+			sim := newSimulation(seed, 3+int(seed%4), delivery)
 			sim.run(6 * time.Second)
 			for range 14 {
 				sim.injectFault()
@@ -27,7 +39,7 @@
 	It("serve every key again once the faults have ended", func() {
 		const seeds = 60
 		for seed := range uint64(seeds) {
-			sim := newSimulation(1000+seed, 4)
+			sim := newSimulation(1000+seed, 4, delivery)
 			sim.run(6 * time.Second)
 			for range 5 {
 				sim.injectFault()
@@ -38,11 +50,11 @@
 			Expect(sim.servedKeys()).To(Equal(ibisrange.Keys), "seed %d", 1000+seed)
 		}
 	})
-})
+}
 
-var _ = Describe("A Manager", func() {
+func describeManager(delivery ibisrange.Delivery) {
 	It("divides the keys evenly among the backend servers that have joined, without later moves", func() {
-		sim := newSimulation(1, 4)
+		sim := newSimulation(1, 4, delivery)
 		sim.lateHeartbeatShare = 0
 		sim.run(8 * time.Second)
 		Expect(sim.servedKeys()).To(Equal(ibisrange.Keys))
@@ -54,7 +66,7 @@
 	})
 
 	It("keeps every key served during a store outage of seven seconds", func() {
-		sim := newSimulation(2, 4)
+		sim := newSimulation(2, 4, delivery)
 		sim.run(10 * time.Second)
 		for _, n := range sim.nodes {
 			n.storeUnreachable = true
@@ -66,7 +78,7 @@
 	})
 
 	It("moves a crashed backend server's keys within five seconds when its node detects the crash", func() {
-		sim := newSimulation(3, 4)
+		sim := newSimulation(3, 4, delivery)
 		sim.run(10 * time.Second)
 		sim.crashServer(sim.nodes[1], true, time.Hour)
 		sim.run(5 * time.Second)
@@ -74,7 +86,7 @@
 	})
 
 	It("passes handover texts to the new owners when a backend server drains", func() {
-		sim := newSimulation(4, 4)
+		sim := newSimulation(4, 4, delivery)
 		sim.run(10 * time.Second)
 		leaving := sim.nodes[2].server
 		leaving.leaving = true
@@ -93,12 +105,9 @@
 	})
 
 	It("gives a joining backend server a fair share of the keys", func() {
-		sim := newSimulation(5, 3)
+		sim := newSimulation(5, 3, delivery)
 		sim.run(10 * time.Second)
-		n := &node{name: "n9"}
-		sim.nodes = append(sim.nodes, n)
-		sim.startNode(n)
-		sim.startServer(n, "s9")
+		n := sim.addNode("9")
 		sim.run(12 * time.Second)
 		own := 0
 		for _, h := range n.server.holds {
@@ -109,7 +118,7 @@
 	})
 
 	It("takes over a lost node's keys although all other nodes restart in the meantime", func() {
-		sim := newSimulation(9, 4)
+		sim := newSimulation(9, 4, delivery)
 		sim.lateHeartbeatShare = 0
 		sim.run(12 * time.Second)
 		lost := sim.nodes[3]
@@ -124,7 +133,7 @@
 	})
 
 	It("serves every key within two seconds after the store's return although all leases have lapsed", func() {
-		sim := newSimulation(6, 4)
+		sim := newSimulation(6, 4, delivery)
 		sim.lateHeartbeatShare = 0
 		sim.run(10 * time.Second)
 		for _, n := range sim.nodes {
@@ -138,4 +147,4 @@
 		sim.run(2 * time.Second)
 		Expect(sim.servedKeys()).To(Equal(ibisrange.Keys))
 	})
-})
+}
--- a/internal/relay/ibisrange/page_test.go
+++ b/internal/relay/ibisrange/page_test.go
@@ -65,7 +65,7 @@
 
 var _ = Describe("A service of 120 backend servers", func() {
 	It("has a page row that fits into the store", func() {
-		sim := newSimulation(20, 120)
+		sim := newSimulation(20, 120, ibisrange.DeliveryHeartbeat)
 		sim.lateHeartbeatShare = 0
 		sim.run(8 * time.Second)
 		Expect(sim.servedKeys()).To(Equal(ibisrange.Keys))
--- a/internal/relay/ibisrange/plan.go
+++ b/internal/relay/ibisrange/plan.go
@@ -60,7 +60,10 @@
 		to, ok := m.leastLoadedOther(page)
 		return to, "", ok
 	}
-	serverSilent := !now.Before(s.grantedUntil) && now.Sub(s.lastHeartbeat) > m.config.MaxGrant
+	if s.isSpent(r) && !s.hasCall(r.Span) && m.grantableUnderNewToken(r) {
+		return r.Owner, s.handover(r.Span), true
+	}
+	serverSilent := !now.Before(s.grantedUntil) && now.Sub(s.lastContact) > m.config.MaxGrant
 	if !s.ended && !serverSilent && !s.draining && !m.isExcluded() && r.Next == "" {
 		return Owner{}, "", false
 	}
--- a/internal/relay/ibisrange/simulation_test.go
+++ b/internal/relay/ibisrange/simulation_test.go
@@ -42,6 +42,14 @@
 	lostAnswerShare float64
 	// lateHeartbeatShare is the share of heartbeats that arrive up to 3 s late.
 	lateHeartbeatShare float64
+	// lateAnswerShare is the share of the store's answers that arrive up to 1.4 s late, and so out of order.
+	lateAnswerShare float64
+	// delivery is how grants reach the backend servers.
+	delivery ibisrange.Delivery
+	// calls sets what happens to calls to the backend servers.
+	calls callFaults
+	// storeRate is the rate of the store's clock.
+	storeRate float64
 	// excludedDomains lists the failure domains that operators have excluded.
 	excludedDomains ibisset.Set[ibisid.DomainName]
 	// commitFault returns how the store handles a commit of a node; if it is nil, all commits are applied.
@@ -61,6 +69,13 @@
 	membersUpdatedAt time.Time
 	server           *backend
 	domain           ibisid.DomainName
+	// clockRate is the rate of the node's clock.
+	clockRate float64
+}
+
+// clock returns the reading of the node's clock.
+func (n *node) clock(now time.Time) time.Time {
+	return start.Add(time.Duration(float64(now.Sub(start)) * n.clockRate))
 }
 
 // backend is a simulated backend server: it holds granted spans until they expire by its own clock.
@@ -72,6 +87,8 @@
 	clockSlowness float64
 	holds         []hold
 	released      []ibisrange.Released
+	// tokens holds the highest token that the backend server has seen, by key.
+	tokens map[int]ibisid.Token
 }
 
 type hold struct {
@@ -101,7 +118,10 @@
 	return e
 }
 
-func newSimulation(seed uint64, nodes int) *simulation {
+// maxDrift is the greatest deviation of a clock's rate.
+const maxDrift = 0.02
+
+func newSimulation(seed uint64, nodes int, delivery ibisrange.Delivery) *simulation {
 	sim := &simulation{
 		now:    start,
 		random: rand.New(rand.NewPCG(seed, 7)),
@@ -109,19 +129,32 @@
 		tokens: make(map[int]ibisid.Token),
 
 		lateHeartbeatShare: 0.03,
+		lateAnswerShare:    0.02,
+		delivery:           delivery,
 		excludedDomains:    make(ibisset.Set[ibisid.DomainName]),
 	}
+	sim.storeRate = sim.drawRate()
 	for i := range nodes {
-		n := &node{
-			name: ibisid.NodeName(fmt.Sprintf("n%d", i)),
-		}
-		sim.nodes = append(sim.nodes, n)
-		sim.startNode(n)
-		sim.startServer(n, fmt.Sprintf("s%d", i))
+		sim.addNode(fmt.Sprint(i))
 	}
 	return sim
 }
 
+// drawRate returns the rate of a clock.
+func (sim *simulation) drawRate() float64 { return 1 + maxDrift*(2*sim.random.Float64()-1) }
+
+// addNode starts a node and the backend server beside it.
+func (sim *simulation) addNode(suffix string) *node {
+	n := &node{
+		name:      ibisid.NodeName("n" + suffix),
+		clockRate: sim.drawRate(),
+	}
+	sim.nodes = append(sim.nodes, n)
+	sim.startNode(n)
+	sim.startServer(n, "s"+suffix)
+	return n
+}
+
 func (sim *simulation) after(d time.Duration, f func()) {
 	sim.seq++
 	heap.Push(&sim.queue, event{at: sim.now.Add(d), seq: sim.seq, run: f})
@@ -150,6 +183,7 @@
 		MaxGrant:      maxGrant,
 		LeaseTerm:     leaseTerm,
 		RenewInterval: renewInterval,
+		Delivery:      sim.delivery,
 	})
 	incarnation := n.incarnation
 	var tick func()
@@ -205,7 +239,8 @@
 	b := &backend{
 		incarnation:   ibisroster.ServerIncarnation{ID: id, StartedAt: sim.now.UnixMilli() + 1},
 		running:       true,
-		clockSlowness: 1 + 0.02*sim.random.Float64(),
+		clockSlowness: 1 + maxDrift*sim.random.Float64(),
+		tokens:        make(map[int]ibisid.Token),
 	}
 	n.server = b
 	var beat func()
@@ -225,10 +260,12 @@
 	sim.expire(b)
 	b.seq++
 	e := ibisrange.HeartbeatEvent{Incarnation: b.incarnation, Seq: b.seq, Draining: b.leaving}
-	for _, h := range b.holds {
-		e.Holds = append(e.Holds, ibisrange.Held{Span: h.Span, Token: h.Token})
+	if sim.delivery == ibisrange.DeliveryHeartbeat {
+		for _, h := range b.holds {
+			e.Holds = append(e.Holds, ibisrange.Held{Span: h.Span, Token: h.Token})
+		}
+		e.Released = slices.Clone(b.released)
 	}
-	e.Released = slices.Clone(b.released)
 	requestDelay := time.Duration(sim.random.Int64N(int64(20 * time.Millisecond)))
 	if sim.random.Float64() < sim.lateHeartbeatShare {
 		requestDelay = time.Duration(sim.random.Int64N(int64(3 * time.Second)))
@@ -348,14 +385,16 @@
 		return nil
 	}
 	incarnation := n.incarnation
-	effects := n.manager.Update(e, sim.now)
+	effects := n.manager.Update(e, n.clock(sim.now))
 	for _, effect := range effects {
 		switch x := effect.(type) {
 		case ibisrange.CommitEffect:
 			sim.after(sim.delay(), func() { sim.commit(n, incarnation, x) })
 		case ibisrange.ReadEffect:
-			requestedAt := sim.now
+			requestedAt := n.clock(sim.now)
 			sim.after(sim.delay(), func() { sim.read(n, incarnation, x, requestedAt) })
+		case ibisrange.CallEffect:
+			sim.after(sim.delay(), func() { sim.call(n, incarnation, n.server, x) })
 		}
 	}
 	return effects
@@ -367,7 +406,11 @@
 
 // deliver passes the store's answer to the same run of the node, once the node is no longer suspended.
 func (sim *simulation) deliver(n *node, incarnation int, e ibisrange.Event) {
-	sim.after(sim.delay(), func() {
+	delay := sim.delay()
+	if sim.random.Float64() < sim.lateAnswerShare {
+		delay = time.Duration(sim.random.Int64N(int64(1400 * time.Millisecond)))
+	}
+	sim.after(delay, func() {
 		if !n.running || n.incarnation != incarnation {
 			return
 		}
@@ -466,7 +509,9 @@
 }
 
 // clock returns the reading of the store's clock, which started 1 h before the nodes.
-func (sim *simulation) clock() time.Duration { return sim.now.Sub(start) + time.Hour }
+func (sim *simulation) clock() time.Duration {
+	return time.Duration(float64(sim.now.Sub(start))*sim.storeRate) + time.Hour
+}
 
 func (sim *simulation) snapshot(table string) *ibisstore.Snapshot {
 	s := &ibisstore.Snapshot{Version: sim.version, Clock: sim.clock()}
@@ -498,7 +543,11 @@
 func (sim *simulation) injectFault() {
 	n := sim.nodes[sim.random.IntN(len(sim.nodes))]
 	duration := time.Second + time.Duration(sim.random.Int64N(int64(14*time.Second)))
-	switch sim.random.IntN(9) {
+	kinds := 9
+	if sim.delivery == ibisrange.DeliveryCall {
+		kinds = 10
+	}
+	switch sim.random.IntN(kinds) {
 	case 0: // the node's process is killed
 		n.running = false
 		sim.after(time.Second+duration/5, func() {
@@ -546,6 +595,9 @@
 	case 8: // answers of the store are lost
 		sim.lostAnswerShare = 0.4
 		sim.after(duration, func() { sim.lostAnswerShare = 0 })
+	case 9: // calls to the backend servers get no answer and are carried out late
+		sim.calls = callFaults{lostShare: 0.2, lateShare: 0.4}
+		sim.after(duration, func() { sim.calls = callFaults{} })
 	}
 }
 
--- a/internal/relay/ibisrangedriver/driver.go
+++ b/internal/relay/ibisrangedriver/driver.go
@@ -14,12 +14,26 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
 
+// maxGrantCalls is the number of grants that are sent to the backend server at once. Releases are not counted: each waits for
+// the work on its keys.
+const maxGrantCalls = 4
+
+// Caller makes calls to the backend server.
+type Caller interface {
+	// Call makes a call and returns its outcome, with the text for the next owner after an accepted release. It calls start
+	// once a connection is ready, right before the call is written, and writes nothing if start doesn't allow it.
+	Call(ctx context.Context, call ibisrange.CallEffect, start func() ibisrange.CallStartEffect) (outcome ibisrange.CallOutcome, handover string)
+}
+
 // Driver does the I/O for one Manager; it is safe for concurrent use.
 type Driver struct {
 	store ibisstore.Store
-	clock ibistimer.Service
-	log   *zap.Logger
-	ctx   context.Context
+	// caller makes calls to the backend server, and grantSlots bounds those that grant.
+	caller     Caller
+	grantSlots chan struct{}
+	clock      ibistimer.Service
+	log        *zap.Logger
+	ctx        context.Context
 
 	mu          sync.Mutex
 	manager     *ibisrange.Manager
@@ -30,11 +44,13 @@
 
 // New returns a Driver that runs the manager until the context ends. It calls publishPage with the known page after each
 // event, so that pages which it commits or reads itself are in use before the feed of changes delivers them.
-func New(ctx context.Context, manager *ibisrange.Manager, service ibisid.ServiceName, store ibisstore.Store, clock ibistimer.Service,
+func New(ctx context.Context, manager *ibisrange.Manager, service ibisid.ServiceName, store ibisstore.Store, caller Caller, clock ibistimer.Service,
 	publishPage func(service ibisid.ServiceName, page ibisrange.Page, version uint64), log *zap.Logger,
 ) *Driver {
 	d := &Driver{
 		store:       store,
+		caller:      caller,
+		grantSlots:  make(chan struct{}, maxGrantCalls),
 		clock:       clock,
 		log:         log,
 		ctx:         ctx,
@@ -53,15 +69,26 @@
 	return d.Update(e)
 }
 
-// Update passes an event to the manager and carries out its effects: it starts commits and reads, and returns the grant,
-// which is zero unless the event is a heartbeat.
+// Update passes an event to the manager and carries out its effects: it starts commits, reads and calls, and returns the
+// grant, which is zero unless the event is a heartbeat.
 func (d *Driver) Update(event ibisrange.Event) ibisrange.GrantEffect {
+	var grant ibisrange.GrantEffect
+	for _, effect := range d.apply(event) {
+		if e, ok := effect.(ibisrange.GrantEffect); ok {
+			grant = e
+		}
+	}
+	return grant
+}
+
+// apply passes an event to the manager, starts the I/O that it requests and returns all effects.
+func (d *Driver) apply(event ibisrange.Event) []ibisrange.Effect {
 	d.mu.Lock()
 	effects := d.manager.Update(event, d.clock.Now())
 	page, known := d.manager.Page()
 	version := d.manager.PageVersion()
 	switch event.(type) {
-	case ibisrange.TickEvent, ibisrange.RefreshEvent:
+	case ibisrange.TickEvent, ibisrange.RefreshEvent, ibisrange.CallReadyEvent:
 	default:
 		close(d.changed)
 		d.changed = make(chan struct{})
@@ -70,20 +97,55 @@
 	if known {
 		d.publishPage(d.service, page, version)
 	}
-	var grant ibisrange.GrantEffect
 	for _, effect := range effects {
 		switch e := effect.(type) {
-		case ibisrange.GrantEffect:
-			grant = e
 		case ibisrange.CommitEffect:
 			go d.commit(e)
 		case ibisrange.ReadEffect:
 			go d.read(e)
+		case ibisrange.CallEffect:
+			go d.call(e)
 		case ibisrange.InvalidPageEffect:
 			d.log.Warn("page row can't be decoded; the previous page stays in use", zap.String("service", string(d.service)), zap.Uint64("version", e.Version), zap.Error(e.Err))
 		}
 	}
-	return grant
+	return effects
+}
+
+// call makes a call to the backend server and reports its outcome to the manager.
+func (d *Driver) call(e ibisrange.CallEffect) {
+	if e.Kind == ibisrange.CallGrant {
+		d.grantSlots <- struct{}{}
+		defer func() { <-d.grantSlots }()
+	}
+	outcome, handover := d.caller.Call(d.ctx, e, func() ibisrange.CallStartEffect { return d.startCall(e.ID) })
+	if e.Kind == ibisrange.CallRelease || outcome != ibisrange.CallAccepted {
+		d.log.Info("call to the backend server",
+			zap.String("service", string(d.service)),
+			zap.String("kind", string(e.Kind)),
+			zap.Uint64("call", e.ID),
+			zap.Int("from", e.From),
+			zap.Int("to", e.To),
+			zap.Uint64("token", uint64(e.Token)),
+			zap.String("outcome", string(outcome)))
+	}
+	d.Update(ibisrange.CallEvent{
+		ID:       e.ID,
+		Outcome:  outcome,
+		Handover: handover,
+	})
+}
+
+func (d *Driver) startCall(id uint64) ibisrange.CallStartEffect {
+	effects := d.apply(ibisrange.CallReadyEvent{
+		ID: id,
+	})
+	for _, effect := range effects {
+		if start, ok := effect.(ibisrange.CallStartEffect); ok {
+			return start
+		}
+	}
+	return ibisrange.CallStartEffect{}
 }
 
 func (d *Driver) commit(e ibisrange.CommitEffect) {
