A store that comes back older: versions carry the era, a page of the era stands before anything new is granted

Cause: after the store came back from an older copy, rows had lower versions than those known, so the feed, the manager and the dispatcher dropped them for good; a commit's condition could meet a number that had been given out again; a takeover could read an old lease row of a holder that lives; a range that had moved in the lost seconds had two owners. Change: platform/store.go puts the header Store-Era into the versions (era << 40 + number), so every comparison orders by (era, version); an answer of an earlier era is an error, a commit on a version of an earlier era is not sent, a feed across eras is a lost history. ibisrange (era.go): in a new era the backend server keeps what it holds under its lease, each node writes its lease again with the spans that may be held, and nothing else is granted, moved or taken over until a page of the era stands: a term and slack after the era was first seen, when every node with a valid lease has said what it holds. Tokens are (era, counter). Until catchUpS has passed, a domain that was out stays out and a backend server that had left stays draining; members that the copy lacks stay known. The stand-in store learns Rewind. Ruled out: an era row as a condition of each commit. Every page commit requires the page's version; the first page of an era is written a term and slack (10.5 s) after it began, when no commit from before can be carried out any more, and commits that land earlier only change the page that the first page of the era replaces. An early page once all members have told: a member that joined in the lost seconds is unknown. Tests: the simulation rewinds the store at any step, with commits in flight, lost answers, suspended nodes and moves under way, over both deliveries; every key is served all the while in a quiet rewind.

--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -18,6 +18,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisretrypolicy"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 	"github.com/ibisridge/ibisridge/internal/request/ibisbalancer"
 )
 
@@ -134,11 +135,13 @@
 	d.refresh()
 }
 
-// SetPage replaces the ownership page of a service if the version is newer.
+// SetPage replaces the ownership page of a service if the version is newer. A page that was written in an earlier era of the
+// store than it was read in may lack the last moves, so it doesn't replace a known page.
 func (d *Dispatcher) SetPage(service ibisid.ServiceName, page ibisrange.Page, version uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.pages[service].version < version {
+	known := d.pages[service].version
+	if known < version && (known == 0 || page.Era == ibisstore.EraOf(version)) {
 		d.pages[service] = pageView{
 			page:    page,
 			version: version,
--- a/internal/relay/ibisrange/balance.go
+++ b/internal/relay/ibisrange/balance.go
@@ -21,10 +21,12 @@
 	maxMovesPerRebalance = 16
 )
 
-// divideKeys returns the first page: ranges of equal width, assigned to the owners in turn.
-func divideKeys(owners []ibisroster.Member) Page {
+// divideKeys returns the first page of an era: ranges of equal width, assigned to the owners in turn.
+func divideKeys(owners []ibisroster.Member, era uint64) Page {
 	n := len(owners) * rangesPerOwner(len(owners))
-	var page Page
+	page := Page{
+		Era: era,
+	}
 	for i := range n {
 		m := owners[i%len(owners)]
 		page.Ranges = append(page.Ranges, Range{
@@ -36,7 +38,7 @@
 				Node:        m.Node,
 				Incarnation: m.Server.Incarnation,
 			},
-			Token: 1,
+			Token: firstToken(era),
 		})
 	}
 	return page
--- a/internal/relay/ibisrange/call.go
+++ b/internal/relay/ibisrange/call.go
@@ -64,7 +64,7 @@
 	d.applyReport(s, now)
 	s.callPauses = slices.DeleteFunc(s.callPauses, func(p callPause) bool { return !now.Before(p.until) })
 	_, mayGrant := m.holdTime(now)
-	for _, g := range m.joinedRanges() {
+	for _, g := range m.joinedRanges(now) {
 		r := g.Range
 		switch {
 		case s.hasCall(r.Span) || s.isPaused(r.Span):
@@ -89,7 +89,7 @@
 }
 
 // joinedRanges returns the ranges of the own run of the backend server, joined where one call can serve neighbors.
-func (m *Manager) joinedRanges() []joinedRange {
+func (m *Manager) joinedRanges(now time.Time) []joinedRange {
 	own := Owner{
 		Node:        m.config.Node,
 		Incarnation: m.server.incarnation,
@@ -101,7 +101,7 @@
 		}
 		next := joinedRange{
 			Range:     r,
-			grantable: m.grantable(r),
+			grantable: m.grantable(r, now),
 			revoked:   !m.grantableUnderNewToken(r),
 		}
 		if n := len(out); n > 0 && out[n-1].joins(next) {
@@ -143,7 +143,7 @@
 	c := &s.calls[i]
 	if c.Kind == CallGrant {
 		holdFor, ok := m.holdTime(now)
-		if !ok || !m.stillGrantable(c.Grant) {
+		if !ok || !m.stillGrantable(c.Grant, now) {
 			m.emit(CallStartEffect{})
 			return
 		}
@@ -157,9 +157,9 @@
 }
 
 // stillGrantable reports whether every range of the grant may be granted under its token.
-func (m *Manager) stillGrantable(g Grant) bool {
+func (m *Manager) stillGrantable(g Grant, now time.Time) bool {
 	for _, r := range m.page.Ranges {
-		if r.Overlaps(g.Span) && (r.Token != g.Token || !m.grantable(r)) {
+		if r.Overlaps(g.Span) && (r.Token != g.Token || !m.grantable(r, now)) {
 			return false
 		}
 	}
--- a/internal/relay/ibisrange/commit.go
+++ b/internal/relay/ibisrange/commit.go
@@ -19,6 +19,11 @@
 // propose requests a commit of a new page. The commit requires the given conditions, and that the page's row in the store
 // still has the known version.
 func (m *Manager) propose(purpose Purpose, page Page, conditions []ibisstore.Condition, removes []ibisstore.Key) {
+	m.proposeAfter(m.pageVersion, purpose, page, conditions, removes)
+}
+
+// proposeAfter requests a commit of a new page in place of the one with the given version.
+func (m *Manager) proposeAfter(version uint64, purpose Purpose, page Page, conditions []ibisstore.Condition, removes []ibisstore.Key) {
 	m.lastCommitID++
 	key := m.pageKey()
 	m.pending = &pendingCommit{
@@ -29,7 +34,7 @@
 		commit: ibisstore.Commit{
 			Conditions: append([]ibisstore.Condition{{
 				Key:     key,
-				Version: m.pageVersion,
+				Version: version,
 			}}, conditions...),
 			Writes: []ibisstore.Write{{
 				Key:   key,
@@ -46,6 +51,7 @@
 }
 
 func (m *Manager) handleCommit(e CommitEvent, now time.Time) {
+	m.noticeEra(e.Result.Version, e.Result.Clock)
 	if m.lease.renewal != nil && e.ID == m.lease.renewal.id {
 		m.handleRenewal(e.Result, now)
 		return
@@ -57,13 +63,14 @@
 	switch e.Result.Outcome {
 	case ibisstore.OutcomeApplied:
 		m.pending = nil
-		if e.Result.Version > m.pageVersion {
-			m.page, m.pageVersion, m.pageKnown = p.page, e.Result.Version, true
-			m.pruneSpent()
+		if p.page.Era == m.era && ibisstore.EraOf(e.Result.Version) == m.era && e.Result.Version > m.pageVersion {
+			m.usePage(p.page, e.Result.Version)
 		}
 	case ibisstore.OutcomeConflict:
 		m.pending = nil
 		m.handlePageConflict(e.Result, now)
+	case ibisstore.OutcomeStaleEra:
+		m.pending = nil
 	case ibisstore.OutcomeRefused, ibisstore.OutcomeUnknown:
 		// The same commit is sent again, except for a refused one that is not a handover. It takes effect at most once, and
 		// while it is pending the ranges that it gives away are not granted.
--- a/internal/relay/ibisrange/delivery.go
+++ b/internal/relay/ibisrange/delivery.go
@@ -75,7 +75,7 @@
 		HoldFor: holdFor,
 	}
 	for _, r := range m.page.Ranges {
-		if !m.grantable(r) {
+		if !m.grantable(r, now) {
 			continue
 		}
 		effect.Grants = append(effect.Grants, r.grant())
--- a/internal/relay/ibisrange/event.go
+++ b/internal/relay/ibisrange/event.go
@@ -127,6 +127,12 @@
 // RefreshEvent asks for a read of the page, as another node has referred to a newer version.
 type RefreshEvent struct{}
 
+// EraEvent reports that the store has come back from an older copy of its data.
+type EraEvent struct {
+	// Version is any version of the new era.
+	Version uint64
+}
+
 // TickEvent triggers the effects that have become due with time.
 type TickEvent struct{}
 
@@ -141,6 +147,7 @@
 func (CallReadyEvent) isEvent()    {}
 func (CallEvent) isEvent()         {}
 func (RefreshEvent) isEvent()      {}
+func (EraEvent) isEvent()          {}
 func (TickEvent) isEvent()         {}
 
 // Effect is an action that a Manager requests.
@@ -219,6 +226,8 @@
 	PurposeRenew Purpose = "renew"
 	// PurposeCreate divides the keys for the first time.
 	PurposeCreate Purpose = "create"
+	// PurposeEra writes the first page of a new era of the store.
+	PurposeEra Purpose = "era"
 	// PurposeHandover gives ranges of the own backend server to other backend servers or to its next run.
 	PurposeHandover Purpose = "handover"
 	// PurposeTakeover reassigns the ranges of owners whose leases have lapsed.
--- a/internal/relay/ibisrange/heartbeat.go
+++ b/internal/relay/ibisrange/heartbeat.go
@@ -136,6 +136,13 @@
 	return !s.reportsOverlap(span) && !s.mayHold(span, now)
 }
 
+// holdsUnder reports whether a grant under the range's token that has not ended covers the range.
+func (s *server) holdsUnder(r Range, now time.Time) bool {
+	return slices.ContainsFunc(s.grants, func(g grantedSpan) bool {
+		return g.token == r.Token && g.From <= r.From && r.To <= g.To && now.Before(g.until)
+	})
+}
+
 // mayHold reports whether a grant that has not ended covers a part of the span.
 func (s *server) mayHold(span Span, now time.Time) bool {
 	return slices.ContainsFunc(s.grants, func(g grantedSpan) bool { return g.Overlaps(span) && now.Before(g.until) })
@@ -160,12 +167,12 @@
 }
 
 // grantable reports whether the range may be granted to the own backend server.
-func (m *Manager) grantable(r Range) bool {
+func (m *Manager) grantable(r Range, now time.Time) bool {
 	s := &m.server
 	if r.Owner != (Owner{
 		Node:        m.config.Node,
 		Incarnation: s.incarnation,
-	}) || s.isSpent(r) {
+	}) || s.isSpent(r) || !m.pageStands() && !s.holdsUnder(r, now) {
 		return false
 	}
 	return m.grantableUnderNewToken(r) && !m.hasPendingTransfer(r)
@@ -174,7 +181,8 @@
 // grantableUnderNewToken reports whether nothing but its token keeps a range of the own backend server from being granted.
 func (m *Manager) grantableUnderNewToken(r Range) bool {
 	s := &m.server
-	return r.Next == "" && !s.draining && !s.ended && !m.isExcluded()
+	planned := r.Next != "" && m.pageStands()
+	return !planned && !s.draining && !s.ended && !m.isExcluded()
 }
 
 // hasPendingTransfer reports whether a commit that may still take effect gives the range to another owner or plans its move.
--- a/internal/relay/ibisrange/keystate.go
+++ b/internal/relay/ibisrange/keystate.go
@@ -29,7 +29,7 @@
 	if r.Owner.Node != m.config.Node {
 		return KeyStateElsewhere, r.Owner.Node
 	}
-	if m.server.wasGranted(key, now) && m.grantable(r) {
+	if m.server.wasGranted(key, now) && m.grantable(r, now) {
 		return KeyStateHeld, r.Owner.Node
 	}
 	if r.Next != "" || m.server.draining || m.server.ended {
--- a/internal/relay/ibisrange/lease.go
+++ b/internal/relay/ibisrange/lease.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
 
@@ -32,6 +33,10 @@
 	renewal    *renewal
 	unanswered []renewal
 	retryAt    time.Time
+	// toldEra is the latest era in which the row says what the backend server may hold.
+	toldEra uint64
+	// eraBegan means that the row's version is unknown because a new era has begun; the lease itself goes on.
+	eraBegan bool
 }
 
 // renewal is one renewal that is in flight or that got no answer.
@@ -39,6 +44,7 @@
 	id     uint64
 	sentAt time.Time
 	writer string
+	era    uint64
 }
 
 // leaseRow is the content of a lease's row.
@@ -48,6 +54,12 @@
 	// UntilMs is the latest end of the lease by the store's clock, in milliseconds; zero if the node had no reading of that
 	// clock yet.
 	UntilMs int64 `json:"untilMs,omitempty"`
+	// Era is the latest era of the store that the writer has noticed.
+	Era uint64 `json:"era,omitempty"`
+	// Holder and Holds say what the backend server may hold, until a page of the era stands.
+	Holder *ibisroster.ServerIncarnation `json:"holder,omitempty"`
+	// Holds lists rows of first key, last key and token.
+	Holds [][3]uint64 `json:"holds,omitempty"`
 }
 
 func (r leaseRow) encode() []byte {
@@ -85,6 +97,7 @@
 	unchangedSince time.Duration
 	seenAt         time.Duration
 	until          time.Duration
+	row            leaseRow
 }
 
 func (m *Manager) leaseValid(now time.Time) bool { return now.Before(m.lease.until) }
@@ -102,7 +115,7 @@
 	if m.lease.renewal != nil || now.Before(m.lease.retryAt) || !m.needsLease(now) {
 		return
 	}
-	if m.leaseValid(now) && now.Sub(m.lease.sentAt) < m.config.RenewInterval {
+	if m.leaseValid(now) && now.Sub(m.lease.sentAt) < m.config.RenewInterval && m.lease.toldEra == m.era {
 		return
 	}
 	m.lastCommitID++
@@ -110,11 +123,16 @@
 		id:     m.lastCommitID,
 		sentAt: now,
 		writer: fmt.Sprintf("%d/%d", m.config.Incarnation, m.lastCommitID),
+		era:    m.era,
 	}
 	m.lease.renewal = r
 	key := m.leaseKey(m.config.Node)
 	row := leaseRow{
 		Writer: r.writer,
+		Era:    m.era,
+	}
+	if !m.pageStands() {
+		row.Holder, row.Holds = m.heldSpans(now)
 	}
 	if m.clock.reading > 0 {
 		row.UntilMs = m.clock.latest(now.Add(m.config.LeaseTerm)).Milliseconds()
@@ -140,12 +158,16 @@
 	m.lease.renewal = nil
 	switch result.Outcome {
 	case ibisstore.OutcomeApplied:
+		if ibisstore.EraOf(result.Version) < m.era {
+			return
+		}
 		m.observeClock(result.Clock, r.sentAt)
-		m.lease.version = result.Version
+		m.lease.version, m.lease.toldEra, m.lease.eraBegan = result.Version, r.era, false
 		m.lease.unanswered = nil
 		m.extendLease(r.sentAt, now)
 	case ibisstore.OutcomeConflict:
 		m.handleRenewalConflict(result.Rows, now)
+	case ibisstore.OutcomeStaleEra:
 	case ibisstore.OutcomeUnknown:
 		m.lease.unanswered = append(m.lease.unanswered, *r)
 		if n := len(m.lease.unanswered); n > maxUnansweredRenewals {
@@ -192,6 +214,11 @@
 		}
 	}
 	m.lease.version = current.Version
+	if m.lease.eraBegan {
+		// The row is an older copy. Nobody takes over before a term of the era has passed, so the lease goes on.
+		m.lease.eraBegan = false
+		return
+	}
 	writer := decodeLease(current.Value).Writer
 	for _, lost := range m.lease.unanswered {
 		if current.Version != 0 && writer == lost.writer {
@@ -206,14 +233,17 @@
 // applyLeases records for each lease since when it has been unchanged by the store's clock.
 func (m *Manager) applyLeases(snapshot ibisstore.Snapshot, now time.Time) {
 	m.leasesReadAt = now
+	m.leasesSeenAt = snapshot.Clock
 	seen := make(map[ibisid.NodeName]peerLease)
 	for _, row := range snapshot.Rows {
 		node := ibisid.NodeName(row.Key.Name)
+		lease := decodeLease(row.Value)
 		p := peerLease{
 			version:        row.Version,
 			unchangedSince: snapshot.Clock,
 			seenAt:         snapshot.Clock,
-			until:          time.Duration(decodeLease(row.Value).UntilMs) * time.Millisecond,
+			until:          time.Duration(lease.UntilMs) * time.Millisecond,
+			row:            lease,
 		}
 		if known, ok := m.peers[node]; ok && known.version == row.Version {
 			p.unchangedSince = known.unchangedSince
--- a/internal/relay/ibisrange/manager.go
+++ b/internal/relay/ibisrange/manager.go
@@ -71,9 +71,17 @@
 	lease        lease
 	peers        map[ibisid.NodeName]peerLease
 	leasesReadAt time.Time
+	// leasesSeenAt is the reading of the store's clock when the leases were last read.
+	leasesSeenAt time.Duration
 	page         Page
 	pageVersion  uint64
 	pageKnown    bool
+	// era is the latest era of the store that an answer has named.
+	era uint64
+	// eraSince is the first reading of the store's clock in the era, zero if there is none yet.
+	eraSince time.Duration
+	// survivor is the page that the store had when the era began, nil if it has not been read or a page of the era stands.
+	survivor *survivingPage
 	// pageStale means that other nodes may have changed the page since it was read, so that nothing is granted or proposed.
 	pageStale        bool
 	readPending      bool
@@ -154,6 +162,7 @@
 		m.sharded, m.excludedDomains, m.homeRegions = e.Sharded, e.OutDomains, e.HomeRegions
 		m.setDelivery(e.Delivery, now)
 	case PageEvent:
+		m.noticeEra(e.Row.Version, 0)
 		m.applyPage(e.Row)
 	case ReadEvent:
 		m.handleRead(e, now)
@@ -164,7 +173,9 @@
 	case CallEvent:
 		m.handleCall(e, now)
 	case RefreshEvent:
-		m.refreshRequested = now.Sub(m.refreshedAt) >= minRefreshInterval
+		m.refreshRequested = m.refreshRequested || now.Sub(m.refreshedAt) >= minRefreshInterval
+	case EraEvent:
+		m.noticeEra(e.Version, 0)
 	case TickEvent:
 	}
 	if m.sharded {
@@ -219,9 +230,9 @@
 }
 
 // applyPage replaces the page by a newer row; a row that can't be decoded leaves the page unchanged and is reported by an
-// InvalidPageEffect.
+// InvalidPageEffect. A row that was written in an earlier era than it was read in becomes the survivor.
 func (m *Manager) applyPage(row ibisstore.Row) {
-	if row.Key.Name != pageName || row.Removed || row.Version <= m.pageVersion {
+	if row.Key.Name != pageName || row.Removed || row.Version <= m.pageVersion || ibisstore.EraOf(row.Version) < m.era {
 		return
 	}
 	page, err := DecodePage(row.Value)
@@ -232,16 +243,24 @@
 		})
 		return
 	}
-	m.page = page
-	m.pageVersion = row.Version
-	m.pageKnown = true
-	m.pruneSpent()
+	if page.Era < m.era {
+		m.keepSurvivor(page, row.Version)
+		return
+	}
+	m.usePage(page, row.Version)
 	if m.pending != nil && !m.pending.sent {
 		// A newer page settles a commit that got no answer: the commit has taken effect or it never will.
 		m.pending = nil
 	}
 }
 
+// usePage replaces the page by one of the present era.
+func (m *Manager) usePage(page Page, version uint64) {
+	m.page, m.pageVersion, m.pageKnown = page, version, true
+	m.survivor = nil
+	m.pruneSpent()
+}
+
 func (m *Manager) handleRead(e ReadEvent, now time.Time) {
 	m.readPending = false
 	if e.Pages == nil && e.Leases == nil {
@@ -249,13 +268,15 @@
 		return
 	}
 	if e.Pages != nil {
+		m.noticeEra(e.Pages.Version, e.Pages.Clock)
 		for _, row := range e.Pages.Rows {
 			m.applyPage(row)
 		}
+		m.keepLostPage(*e.Pages)
 		// A read that was sent before the lease became valid may miss a takeover of the node's ranges.
 		m.pageStale = m.pageStale && e.RequestedAt.Before(m.lease.validSince)
 	}
-	if e.Leases != nil {
+	if e.Leases != nil && !m.noticeEra(e.Leases.Version, e.Leases.Clock) {
 		m.observeClock(e.Leases.Clock, e.RequestedAt)
 		m.applyLeases(*e.Leases, now)
 	}
@@ -280,7 +301,7 @@
 	if !m.leaseValid(now) || m.pageStale {
 		return
 	}
-	if m.pageKnown && m.proposeHandover(now) {
+	if m.pageStands() && m.proposeHandover(now) {
 		return
 	}
 	m.coordinate(now)
@@ -290,7 +311,7 @@
 	if m.readPending || now.Before(m.readRetryAt) || !m.leaseValid(now) {
 		return
 	}
-	pages := m.pageStale || m.refreshRequested
+	pages := m.pageStale || m.refreshRequested || m.pageKnown && !m.pageStands() && m.survivor == nil
 	leases := now.Sub(m.leasesReadAt) >= m.leaseReadInterval()
 	if !pages && !leases {
 		return
--- a/internal/relay/ibisrange/manager_test.go
+++ b/internal/relay/ibisrange/manager_test.go
@@ -132,6 +132,31 @@
 		Expect(sim.servedKeys()).To(Equal(ibisrange.Keys))
 	})
 
+	It("serves every key all the while when the store comes back from an older copy", func() {
+		sim := newSimulation(7, 4, delivery)
+		sim.lateHeartbeatShare = 0
+		sim.run(12 * time.Second)
+		sim.rewind(3 * time.Second)
+		for range 300 {
+			sim.run(100 * time.Millisecond)
+			Expect(sim.servedKeys()).To(Equal(ibisrange.Keys))
+		}
+		Expect(sim.violations).To(BeEmpty())
+	})
+
+	It("keeps one owner per key when the store loses a move, and moves again once a page of the era stands", func() {
+		for seed := range uint64(20) {
+			sim := newSimulation(100+seed, 3, delivery)
+			sim.run(12 * time.Second)
+			sim.addNode("9")
+			sim.run(2*time.Second + time.Duration(sim.random.Int64N(int64(5*time.Second))))
+			sim.rewind(4 * time.Second)
+			sim.run(40 * time.Second)
+			Expect(sim.violations).To(BeEmpty(), "seed %d", seed)
+			Expect(sim.servedKeys()).To(Equal(ibisrange.Keys), "seed %d", seed)
+		}
+	})
+
 	It("serves every key within two seconds after the store's return although all leases have lapsed", func() {
 		sim := newSimulation(6, 4, delivery)
 		sim.lateHeartbeatShare = 0
--- a/internal/relay/ibisrange/page.go
+++ b/internal/relay/ibisrange/page.go
@@ -76,6 +76,8 @@
 
 // Page lists the ranges of a service; together they contain every key once.
 type Page struct {
+	// Era is the era of the store in which the page was written.
+	Era uint64
 	// Ranges lists the ranges in ascending order of keys.
 	Ranges []Range
 }
@@ -99,6 +101,7 @@
 
 func (p Page) clone() Page {
 	return Page{
+		Era:    p.Era,
 		Ranges: slices.Clone(p.Ranges),
 	}
 }
@@ -121,9 +124,9 @@
 }
 
 // withOwner returns the range with a new owner, the next token and no planned move.
-func (r Range) withOwner(to Owner, handover string) Range {
+func (r Range) withOwner(to Owner, handover string, era uint64) Range {
 	r.Owner = to
-	r.Token++
+	r.Token = max(r.Token+1, firstToken(era))
 	r.Handover = handover
 	r.Next = ""
 	return r
--- a/internal/relay/ibisrange/page_test.go
+++ b/internal/relay/ibisrange/page_test.go
@@ -69,7 +69,7 @@
 		sim.lateHeartbeatShare = 0
 		sim.run(8 * time.Second)
 		Expect(sim.servedKeys()).To(Equal(ibisrange.Keys))
-		for key, row := range sim.rows {
+		for key, row := range sim.store.rows {
 			if key.Table == ibisrange.TablePages {
 				Expect(len(row.Value)).To(BeNumerically("<=", maxRowBytes))
 			}
--- a/internal/relay/ibisrange/pagerow.go
+++ b/internal/relay/ibisrange/pagerow.go
@@ -10,6 +10,8 @@
 // pageRow is the stored form of a page: owners are listed once and ranges are stored in columns, so that 1,000 ranges fit
 // into a row.
 type pageRow struct {
+	// Era is the era of the store in which the page was written.
+	Era uint64 `json:"era,omitempty"`
 	// Owners lists the owners.
 	Owners []Owner `json:"owners"`
 	// To lists the last key of each range; the first range begins at key 0, each other one after the end of the previous one.
@@ -27,6 +29,7 @@
 // Encode returns the page as the content of its row.
 func (p Page) Encode() []byte {
 	row := pageRow{
+		Era:      p.Era,
 		Handover: make(map[int]string),
 		Next:     make(map[int]ibisid.NodeName),
 	}
@@ -65,7 +68,9 @@
 	if len(row.Owner) != len(row.To) || len(row.Token) != len(row.To) {
 		return Page{}, fmt.Errorf("page row: columns differ in length: %d ranges, %d owners, %d tokens", len(row.To), len(row.Owner), len(row.Token))
 	}
-	var p Page
+	p := Page{
+		Era: row.Era,
+	}
 	next := 0
 	for i, to := range row.To {
 		if to < next {
--- a/internal/relay/ibisrange/plan.go
+++ b/internal/relay/ibisrange/plan.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		if to, handover, ok := m.nextOwner(page, r, now); ok {
-			page.Ranges[i] = r.withOwner(to, handover)
+			page.Ranges[i] = r.withOwner(to, handover, m.era)
 			changed = true
 		}
 	}
@@ -149,6 +149,12 @@
 		}
 		return
 	}
+	if !m.pageStands() {
+		if page, ok := m.planEraPage(); ok && m.rankDelayPassed(now) {
+			m.proposeEraPage(page)
+		}
+		return
+	}
 	page, conditions, removes := m.planTakeover()
 	if len(conditions) > 0 {
 		if m.rankDelayPassed(now) {
@@ -192,7 +198,7 @@
 		m.leasesReadAt = time.Time{}
 		return false
 	}
-	return true
+	return !m.heldElsewhere()
 }
 
 // rank returns the number of alive nodes that rank before this one for coordination.
@@ -211,7 +217,7 @@
 	if len(owners) == 0 {
 		return
 	}
-	m.propose(PurposeCreate, divideKeys(owners), nil, nil)
+	m.propose(PurposeCreate, divideKeys(owners, m.era), nil, nil)
 }
 
 // planTakeover returns a page in which the ranges of nodes with lapsed leases have new owners, the conditions that each
@@ -231,7 +237,7 @@
 		if !ok {
 			return page, nil, nil
 		}
-		page.Ranges[i] = r.withOwner(to, "")
+		page.Ranges[i] = r.withOwner(to, "", m.era)
 		if conditioned[r.Owner.Node] {
 			continue
 		}
--- a/internal/relay/ibisrange/simulation_test.go
+++ b/internal/relay/ibisrange/simulation_test.go
@@ -32,8 +32,7 @@
 	random       *rand.Rand
 	queue        queue
 	seq          int
-	rows         map[ibisstore.Key]ibisstore.Row
-	version      uint64
+	store        store
 	nodes        []*node
 	tokens       map[int]ibisid.Token
 	violations   []string
@@ -71,6 +70,8 @@
 	domain           ibisid.DomainName
 	// clockRate is the rate of the node's clock.
 	clockRate float64
+	// seenEra is the latest era of the store that the node's process has seen.
+	seenEra uint64
 }
 
 // clock returns the reading of the node's clock.
@@ -125,7 +126,7 @@
 	sim := &simulation{
 		now:    start,
 		random: rand.New(rand.NewPCG(seed, 7)),
-		rows:   make(map[ibisstore.Key]ibisstore.Row),
+		store:  store{rows: make(map[ibisstore.Key]ibisstore.Row)},
 		tokens: make(map[int]ibisid.Token),
 
 		lateHeartbeatShare: 0.03,
@@ -175,6 +176,7 @@
 func (sim *simulation) startNode(n *node) {
 	n.incarnation++
 	n.running = true
+	n.seenEra = 0
 	n.manager = ibisrange.New(ibisrange.Config{
 		Node:          n.name,
 		Service:       service,
@@ -208,10 +210,9 @@
 }
 
 func (sim *simulation) feedPages(n *node) {
-	for key, row := range sim.rows {
-		if key.Table == ibisrange.TablePages {
-			sim.update(n, ibisrange.PageEvent{Row: row})
-		}
+	n.seenEra = max(n.seenEra, sim.store.era)
+	for _, row := range sim.snapshot(ibisrange.TablePages).Rows {
+		sim.update(n, ibisrange.PageEvent{Row: row})
 	}
 }
 
@@ -426,103 +427,6 @@
 	})
 }
 
-func (sim *simulation) commit(n *node, incarnation int, e ibisrange.CommitEffect) {
-	if sim.editCommit != nil {
-		sim.editCommit(&e.Commit)
-	}
-	if n.storeUnreachable {
-		outcome := ibisstore.OutcomeRefused
-		if sim.random.Float64() < 0.5 {
-			outcome = ibisstore.OutcomeUnknown
-		}
-		sim.deliver(n, incarnation, ibisrange.CommitEvent{ID: e.ID, Result: ibisstore.Result{Outcome: outcome}})
-		return
-	}
-	if sim.random.Float64() < sim.lostAnswerShare {
-		if sim.random.Float64() < 0.5 {
-			sim.apply(e.Commit)
-		} else {
-			sim.after(time.Second+time.Duration(sim.random.Int64N(int64(5*time.Second))), func() { sim.apply(e.Commit) })
-		}
-		sim.after(time.Second, func() {
-			sim.deliver(n, incarnation, ibisrange.CommitEvent{ID: e.ID, Result: ibisstore.Result{Outcome: ibisstore.OutcomeUnknown}})
-		})
-		return
-	}
-	unknown := func() {
-		sim.after(time.Second, func() {
-			sim.deliver(n, incarnation, ibisrange.CommitEvent{ID: e.ID, Result: ibisstore.Result{Outcome: ibisstore.OutcomeUnknown}})
-		})
-	}
-	handling := commitApplied
-	if sim.commitFault != nil {
-		handling = sim.commitFault(n)
-	}
-	switch handling {
-	case commitNotSent:
-		sim.deliver(n, incarnation, ibisrange.CommitEvent{ID: e.ID, Result: ibisstore.Result{Outcome: ibisstore.OutcomeRefused}})
-	case commitAnswerLost:
-		sim.apply(e.Commit)
-		unknown()
-	case commitAppliedLate:
-		sim.after(3*time.Second, func() { sim.apply(e.Commit) })
-		unknown()
-	case commitApplied:
-		sim.deliver(n, incarnation, ibisrange.CommitEvent{ID: e.ID, Result: sim.apply(e.Commit)})
-	}
-}
-
-func (sim *simulation) apply(c ibisstore.Commit) ibisstore.Result {
-	var rows []ibisstore.Row
-	conflict := false
-	for _, condition := range c.Conditions {
-		row, ok := sim.rows[condition.Key]
-		if ok {
-			rows = append(rows, row)
-		}
-		conflict = conflict || row.Version != condition.Version
-	}
-	if conflict {
-		return ibisstore.Result{Outcome: ibisstore.OutcomeConflict, Rows: rows, Clock: sim.clock()}
-	}
-	sim.version++
-	for _, write := range c.Writes {
-		sim.rows[write.Key] = ibisstore.Row{Key: write.Key, Value: write.Value, Version: sim.version}
-	}
-	for _, key := range c.Removes {
-		delete(sim.rows, key)
-	}
-	return ibisstore.Result{Outcome: ibisstore.OutcomeApplied, Version: sim.version, Clock: sim.clock()}
-}
-
-func (sim *simulation) read(n *node, incarnation int, e ibisrange.ReadEffect, requestedAt time.Time) {
-	event := ibisrange.ReadEvent{RequestedAt: requestedAt}
-	if !n.storeUnreachable {
-		if e.Pages {
-			event.Pages = sim.snapshot(ibisrange.TablePages)
-		}
-		if e.Leases {
-			event.Leases = sim.snapshot(ibisrange.TableLeases)
-		}
-	}
-	sim.deliver(n, incarnation, event)
-}
-
-// clock returns the reading of the store's clock, which started 1 h before the nodes.
-func (sim *simulation) clock() time.Duration {
-	return time.Duration(float64(sim.now.Sub(start))*sim.storeRate) + time.Hour
-}
-
-func (sim *simulation) snapshot(table string) *ibisstore.Snapshot {
-	s := &ibisstore.Snapshot{Version: sim.version, Clock: sim.clock()}
-	for key, row := range sim.rows {
-		if key.Table == table {
-			s.Rows = append(s.Rows, row)
-		}
-	}
-	return s
-}
-
 // servedKeys returns the number of keys held by backend servers whose nodes are running.
 func (sim *simulation) servedKeys() int {
 	n := 0
@@ -543,9 +447,9 @@
 func (sim *simulation) injectFault() {
 	n := sim.nodes[sim.random.IntN(len(sim.nodes))]
 	duration := time.Second + time.Duration(sim.random.Int64N(int64(14*time.Second)))
-	kinds := 9
+	kinds := 10
 	if sim.delivery == ibisrange.DeliveryCall {
-		kinds = 10
+		kinds = 11
 	}
 	switch sim.random.IntN(kinds) {
 	case 0: // the node's process is killed
@@ -595,7 +499,9 @@
 	case 8: // answers of the store are lost
 		sim.lostAnswerShare = 0.4
 		sim.after(duration, func() { sim.lostAnswerShare = 0 })
-	case 9: // calls to the backend servers get no answer and are carried out late
+	case 9: // the store comes back from an older copy
+		sim.rewind(time.Duration(sim.random.Int64N(int64(5 * time.Second))))
+	case 10: // calls to the backend servers get no answer and are carried out late
 		sim.calls = callFaults{lostShare: 0.2, lateShare: 0.4}
 		sim.after(duration, func() { sim.calls = callFaults{} })
 	}
--- a/internal/relay/ibisrangedriver/registrar.go
+++ b/internal/relay/ibisrangedriver/registrar.go
@@ -85,6 +85,14 @@
 	}
 }
 
+// Rewrite makes Run write the row again, after the store may have lost it.
+func (r *Registrar) Rewrite() {
+	r.mu.Lock()
+	r.written = ""
+	r.mu.Unlock()
+	r.wakeUp()
+}
+
 func (r *Registrar) wakeUp() {
 	select {
 	case r.wake <- struct{}{}:
@@ -154,6 +162,8 @@
 		if r.version == 0 && removing {
 			return true
 		}
+	case ibisstore.OutcomeStaleEra:
+		r.version = 0
 	case ibisstore.OutcomeRefused, ibisstore.OutcomeUnknown:
 		r.log.Warn("node's row among the members is not updated in the store", zap.String("outcome", string(result.Outcome)), zap.Error(result.Err))
 	}
--- a/internal/relay/ibisroster/roster.go
+++ b/internal/relay/ibisroster/roster.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
 
 // Roster holds the members by node name. New returns one ready for use; the zero value isn't usable. It isn't safe for
@@ -12,34 +13,68 @@
 type Roster struct {
 	members  map[ibisid.NodeName]entry
 	revision uint64
+	// departed holds backend servers that are known to have left or to be leaving, with the era of the row that said so, since
+	// the rows of a later era may come from an older copy.
+	departed map[ServerIncarnation]uint64
 }
 
+// maxDeparted bounds the number of departed backend servers that are kept.
+const maxDeparted = 1024
+
 // entry is a member with the version of its row.
 type entry struct {
 	member  Member
 	version uint64
+	// overridden means that the row says that the backend server accepts work, although it is known to have left.
+	overridden bool
 }
 
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
-		members: make(map[ibisid.NodeName]entry),
+		members:  make(map[ibisid.NodeName]entry),
+		departed: make(map[ServerIncarnation]uint64),
 	}
 }
 
-// Put applies a member's row unless the roster has one of the same or a newer version, and reports whether it applied it.
+// Put applies a member's row unless the roster has one of the same or a newer version, and reports whether it applied it. A
+// backend server that has left in an earlier era of the store is draining, whatever the row says.
 func (r *Roster) Put(m Member, version uint64) bool {
-	if known, ok := r.members[m.Node]; ok && known.version >= version {
+	known, ok := r.members[m.Node]
+	if ok && known.version >= version {
 		return false
 	}
+	era, left := r.departed[m.Server.Incarnation]
+	overridden := left && era < ibisstore.EraOf(version)
+	switch {
+	case overridden:
+		m.Server.State = StateDraining
+	case m.Server.State == StateDraining:
+		r.recordDeparture(m.Server.Incarnation, version)
+	default:
+		delete(r.departed, m.Server.Incarnation)
+	}
 	r.members[m.Node] = entry{
-		member:  m,
-		version: version,
+		member:     m,
+		version:    version,
+		overridden: overridden,
 	}
 	r.revision++
 	return true
 }
 
+// EndCatchUp makes the roster believe the rows of the present era, as their writers have had time to write them again. Rows
+// that Put has overridden are to be read again.
+func (r *Roster) EndCatchUp() {
+	clear(r.departed)
+	for name, known := range r.members {
+		if known.overridden {
+			known.version = 0
+			r.members[name] = known
+		}
+	}
+}
+
 // Remove deletes a member whose row was removed at the version, unless its row has the same or a newer version, and
 // reports whether it deleted one.
 func (r *Roster) Remove(node ibisid.NodeName, version uint64) bool {
@@ -47,15 +82,29 @@
 	if !ok || known.version >= version {
 		return false
 	}
+	r.recordDeparture(known.member.Server.Incarnation, version)
 	delete(r.members, node)
 	r.revision++
 	return true
 }
 
-// RetainOnly deletes every member that isn't among the names of a full read as of the version, unless its row is newer.
+// recordDeparture records that a backend server has left or is leaving, as a row of the version says. Beyond maxDeparted, all
+// earlier ones are forgotten.
+func (r *Roster) recordDeparture(server ServerIncarnation, version uint64) {
+	if server.IsZero() {
+		return
+	}
+	if len(r.departed) >= maxDeparted {
+		clear(r.departed)
+	}
+	r.departed[server] = ibisstore.EraOf(version)
+}
+
+// RetainOnly deletes every member that isn't among the names of a full read as of the version, unless its row is newer or of
+// an earlier era of the store: a member that joined shortly before the era began writes its row again.
 func (r *Roster) RetainOnly(names map[ibisid.NodeName]bool, version uint64) {
 	for name, known := range r.members {
-		if !names[name] && known.version <= version {
+		if !names[name] && known.version <= version && ibisstore.EraOf(known.version) == ibisstore.EraOf(version) {
 			delete(r.members, name)
 			r.revision++
 		}
--- a/internal/relay/ibisstore/store.go
+++ b/internal/relay/ibisstore/store.go
@@ -25,7 +25,7 @@
 	Key Key
 	// Value is the content; nil if the row was removed.
 	Value []byte
-	// Version is the version of the last commit that wrote or removed the row.
+	// Version is the version of the last commit that wrote or removed the row, in the era in which the row was read.
 	Version uint64
 	// Removed reports that the row no longer exists.
 	Removed bool
@@ -80,6 +80,9 @@
 	OutcomeConflict Outcome = "conflict"
 	// OutcomeRefused means that the store rejected the commit, or could not be reached, and nothing was changed.
 	OutcomeRefused Outcome = "refused"
+	// OutcomeStaleEra means that the commit was not sent, as it requires a version of an earlier era than the store's;
+	// Result.Version is in the present era.
+	OutcomeStaleEra Outcome = "staleEra"
 	// OutcomeUnknown means that no answer arrived: the changes may have taken effect or may still do so.
 	OutcomeUnknown Outcome = "unknown"
 )
--- a/internal/standin/ibisrowstore/handler.go
+++ b/internal/standin/ibisrowstore/handler.go
@@ -20,6 +20,10 @@
 	longestWait = 30 * time.Second
 
 	pathTransaction = "/-/rows-tx"
+	headerEra       = "Store-Era"
+	// tableOperator is the table that the operator writes, and tableServers that of the backend servers.
+	tableOperator = "op"
+	tableServers  = "servers"
 )
 
 // Server answers the store's calls over HTTP and does wrong what it was told to.
@@ -61,7 +65,7 @@
 
 // ServeHTTP answers a call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == pathFaults || r.URL.Path == pathCounts {
+	if r.URL.Path == pathRewind || r.URL.Path == pathFaults || r.URL.Path == pathCounts {
 		s.mux.ServeHTTP(w, r)
 		return
 	}
@@ -143,6 +147,17 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// answerRows answers a call about rows as of a moment.
+func (s *Server) answerRows(w http.ResponseWriter, status int, at moment, rows []row, more bool) {
+	w.Header().Set(headerEra, strconv.FormatUint(at.era, 10))
+	answer(w, status, rowsAnswer{
+		Rows:    rows,
+		HasMore: more,
+		Ver:     at.version,
+		NowMs:   s.store.nowMs(),
+	})
+}
+
 func (s *Server) rowsTx(w http.ResponseWriter, r *http.Request) {
 	var t transaction
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&t); err != nil {
@@ -154,21 +169,17 @@
 		return
 	}
 	for _, key := range changed(t) {
-		if key.Table == "op" || key.Table == "servers" {
+		if key.Table == tableOperator || key.Table == tableServers {
 			http.Error(w, "the table is the operator's", http.StatusForbidden)
 			return
 		}
 	}
-	version, current, ok := s.store.apply(t)
+	at, current, ok := s.store.apply(t)
 	status := http.StatusOK
 	if !ok {
 		status = http.StatusPreconditionFailed
 	}
-	answer(w, status, rowsAnswer{
-		Rows:  current,
-		Ver:   version,
-		NowMs: s.store.nowMs(),
-	})
+	s.answerRows(w, status, at, current, false)
 }
 
 func changed(t transaction) []rowKey {
@@ -182,13 +193,8 @@
 func (s *Server) rowsGet(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	limit, _ := strconv.Atoi(q.Get("limit"))
-	rows, more, version := s.store.get(q.Get("table"), q.Get("part"), q.Get("from"), q.Get("to"), limit)
-	answer(w, http.StatusOK, rowsAnswer{
-		Rows:    rows,
-		HasMore: more,
-		Ver:     version,
-		NowMs:   s.store.nowMs(),
-	})
+	rows, more, at := s.store.get(q.Get("table"), q.Get("part"), q.Get("from"), q.Get("to"), limit)
+	s.answerRows(w, http.StatusOK, at, rows, more)
 }
 
 func (s *Server) rowsParts(w http.ResponseWriter, r *http.Request) {
@@ -207,27 +213,20 @@
 	timeout := time.NewTimer(min(longestWait, time.Duration(ms)*time.Millisecond))
 	defer timeout.Stop()
 	for {
-		rows, version, next, lost := s.store.feed(q.Get("table"), after)
+		rows, at, next, lost := s.store.feed(q.Get("table"), after)
 		if lost {
+			w.Header().Set(headerEra, strconv.FormatUint(at.era, 10))
 			http.Error(w, "the history is gone", http.StatusGone)
 			return
 		}
 		if len(rows) > 0 {
-			answer(w, http.StatusOK, rowsAnswer{
-				Rows:  rows,
-				Ver:   version,
-				NowMs: s.store.nowMs(),
-			})
+			s.answerRows(w, http.StatusOK, at, rows, false)
 			return
 		}
 		select {
 		case <-next:
 		case <-timeout.C:
-			answer(w, http.StatusOK, rowsAnswer{
-				Rows:  rows,
-				Ver:   version,
-				NowMs: s.store.nowMs(),
-			})
+			s.answerRows(w, http.StatusOK, at, rows, false)
 			return
 		case <-r.Context().Done():
 			return
--- a/internal/standin/ibisrowstore/store.go
+++ b/internal/standin/ibisrowstore/store.go
@@ -56,6 +56,34 @@
 	forgotten uint64
 	changed   chan struct{}
 	objects   map[string][]byte
+	// era counts how often the store has come back from an older copy, and undo holds what that takes.
+	era  uint64
+	undo []undoEntry
+}
+
+// moment is the newest version of the store and the era in which it was given out.
+type moment struct {
+	version uint64
+	era     uint64
+}
+
+// now returns the present moment; s.mu is held.
+func (s *Store) now() moment {
+	return moment{
+		version: s.version,
+		era:     s.era,
+	}
+}
+
+// undoLimit is how long ago a commit may be to be lost.
+const undoLimit = 30 * time.Second
+
+// undoEntry is what one commit has changed.
+type undoEntry struct {
+	at      time.Time
+	version uint64
+	// before holds the rows as they were, without a version where there was none.
+	before []row
 }
 
 // New returns an empty store.
@@ -101,7 +129,7 @@
 }
 
 // apply applies a transaction, or returns the rows of its conditions as they stand.
-func (s *Store) apply(t transaction) (uint64, []row, bool) {
+func (s *Store) apply(t transaction) (moment, []row, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var current []row
@@ -114,8 +142,9 @@
 		held = held && r.Ver == e.Ver
 	}
 	if !held {
-		return s.version, current, false
+		return s.now(), current, false
 	}
+	s.recordUndo(t)
 	s.version++
 	for _, w := range t.Writes {
 		w.Ver = s.version
@@ -134,7 +163,64 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.version, nil, true
+	return s.now(), nil, true
+}
+
+// recordUndo records the rows that a transaction is about to change; s.mu is held.
+func (s *Store) recordUndo(t transaction) {
+	now := time.Now()
+	entry := undoEntry{
+		at:      now,
+		version: s.version,
+	}
+	for _, key := range changed(t) {
+		before := s.rows[key]
+		before.rowKey = key
+		entry.before = append(entry.before, before)
+	}
+	s.undo = slices.DeleteFunc(s.undo, func(u undoEntry) bool { return now.Sub(u.at) > undoLimit })
+	s.undo = append(s.undo, entry)
+}
+
+// Rewind makes the store come back from a copy of the given age, which begins a new era: commits since then are gone, and
+// their versions are given out again. The operator writes its rows again at once. It returns the new era.
+func (s *Store) Rewind(age time.Duration) uint64 {
+	s.mu.Lock()
+	lost := time.Now().Add(-age)
+	operator := make(map[rowKey]row)
+	for key, r := range s.rows {
+		if key.Table == tableOperator {
+			operator[key] = r
+		}
+	}
+	for n := len(s.undo); n > 0 && s.undo[n-1].at.After(lost); n = len(s.undo) {
+		for _, r := range s.undo[n-1].before {
+			if r.Ver == 0 {
+				delete(s.rows, r.rowKey)
+			} else {
+				s.rows[r.rowKey] = r
+			}
+		}
+		s.version = s.undo[n-1].version
+		s.undo = s.undo[:n-1]
+	}
+	s.era++
+	s.history = slices.DeleteFunc(s.history, func(r row) bool { return r.Ver > s.version })
+	s.forgotten = min(s.forgotten, s.version)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	var again transaction
+	for key, r := range operator {
+		if s.rows[key].Ver != r.Ver {
+			again.Writes = append(again.Writes, r)
+		}
+	}
+	era := s.era
+	s.mu.Unlock()
+	if len(again.Writes) > 0 {
+		s.apply(again)
+	}
+	return era
 }
 
 // Put writes a row as the operator would, without a condition.
@@ -163,7 +249,7 @@
 }
 
 // get returns the rows of a range of a partition, in order, and whether more follow.
-func (s *Store) get(table, part, from, to string, limit int) ([]row, bool, uint64) {
+func (s *Store) get(table, part, from, to string, limit int) ([]row, bool, moment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []row
@@ -177,7 +263,7 @@
 		limit = maxRows
 	}
 	more := len(out) > limit
-	return out[:min(limit, len(out))], more, s.version
+	return out[:min(limit, len(out))], more, s.now()
 }
 
 // parts returns the partitions of a table.
@@ -195,11 +281,11 @@
 
 // feed returns the changes of a table after a version and a channel that is closed with the next change; lost says that
 // the changes can't be told any more.
-func (s *Store) feed(table string, after uint64) (rows []row, version uint64, next <-chan struct{}, lost bool) {
+func (s *Store) feed(table string, after uint64) (rows []row, at moment, next <-chan struct{}, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.forgotten {
-		return nil, s.version, nil, true
+	if after < s.forgotten || after > s.version {
+		return nil, s.now(), nil, true
 	}
 	i, _ := slices.BinarySearchFunc(s.history, after+1, func(r row, v uint64) int { return cmp.Compare(r.Ver, v) })
 	for _, r := range s.history[i:] {
@@ -207,7 +293,7 @@
 			rows = append(rows, r)
 		}
 	}
-	return rows, s.version, s.changed, false
+	return rows, s.now(), s.changed, false
 }
 
 // Forget drops the history: feeds from before now can't be continued.
--- a/internal/standin/ibisrowstore/switch.go
+++ b/internal/standin/ibisrowstore/switch.go
@@ -7,8 +7,10 @@
 	"time"
 )
 
-// pathFaults switches faults, and pathCounts tells the calls so far; faults don't hit these calls.
+// pathFaults switches faults, pathRewind brings the store back from an older copy, and pathCounts tells the calls so far;
+// faults don't hit these calls.
 const (
+	pathRewind = "/standin/rewind"
 	pathFaults = "/standin/faults"
 	pathCounts = "/standin/counts"
 )
@@ -73,11 +75,22 @@
 		s.Clear()
 		s.listFaults(w, r)
 	})
+	mux.HandleFunc("POST "+pathRewind, s.rewind)
 	mux.HandleFunc("GET "+pathCounts, func(w http.ResponseWriter, _ *http.Request) {
 		answer(w, http.StatusOK, s.Counts())
 	})
 }
 
+// rewind brings the store back from a copy whose age the query gives.
+func (s *Server) rewind(w http.ResponseWriter, r *http.Request) {
+	age, err := time.ParseDuration(r.URL.Query().Get("age"))
+	if err != nil || age <= 0 {
+		http.Error(w, fmt.Sprintf("age %q: must be a duration above zero, such as \"3s\"", r.URL.Query().Get("age")), http.StatusBadRequest)
+		return
+	}
+	answer(w, http.StatusOK, map[string]uint64{"era": s.store.Rewind(age)})
+}
+
 func (s *Server) addFaults(w http.ResponseWriter, r *http.Request) {
 	var body faultsBody
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
