--- a/internal/relay/ibisrange/balance.go
+++ b/internal/relay/ibisrange/balance.go
@@ -1,6 +1,8 @@
 package ibisrange
 
 import (
+	"slices"
+
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 )
@@ -57,23 +59,26 @@
 	for _, m := range owners {
 		allowed[m.Node] = true
 	}
-	out := page.clone()
-	for i, r := range out.Ranges {
+	for i, r := range page.Ranges {
 		switch {
 		case r.Next == "":
 		case !allowed[r.Next]:
+			out := page.clone()
 			out.Ranges[i].Next = ""
 			return out, true
 		default:
 			return page, false
 		}
 	}
-	for _, r := range out.Ranges {
+	for _, r := range page.Ranges {
 		if !alive(r.Owner.Node) {
 			return page, false
 		}
 	}
-	changed := false
+	if !page.isUnbalanced(owners) {
+		return page, false
+	}
+	out, changed := page.clone(), false
 	for range maxMovesPerRebalance {
 		if !out.planOneMove(owners) {
 			break
@@ -83,6 +88,17 @@
 	return out, changed
 }
 
+// isUnbalanced reports whether an owner has far fewer keys than a fair share.
+func (p Page) isUnbalanced(owners []ibisroster.Member) bool {
+	if len(owners) < 2 {
+		return false
+	}
+	shares := p.keysByNode()
+	return slices.ContainsFunc(owners, func(m ibisroster.Member) bool {
+		return float64(shares[m.Node]) < minShareFraction*float64(Keys/len(owners))
+	})
+}
+
 // planOneMove plans the move of one range to the owner with the fewest keys, and reports whether it planned one. The first
 // move to an owner requires that it has less than minShareFraction of a fair share; further moves fill up the share.
 func (p *Page) planOneMove(owners []ibisroster.Member) bool {
--- a/internal/relay/ibisrange/call.go
+++ b/internal/relay/ibisrange/call.go
@@ -229,6 +229,11 @@
 	return slices.ContainsFunc(s.calls, func(c call) bool { return c.Overlaps(span) })
 }
 
+// hasGrantCall reports whether a grant without an outcome covers a part of the span.
+func (s *server) hasGrantCall(span Span) bool {
+	return slices.ContainsFunc(s.calls, func(c call) bool { return c.Kind == CallGrant && c.Overlaps(span) })
+}
+
 func (s *server) isPaused(span Span) bool {
 	return slices.ContainsFunc(s.callPauses, func(p callPause) bool { return p.Overlaps(span) })
 }
--- a/internal/relay/ibisrange/heartbeat.go
+++ b/internal/relay/ibisrange/heartbeat.go
@@ -127,7 +127,7 @@
 	if s.incarnation.IsZero() || s.ended {
 		return true
 	}
-	if s.hasCall(span) {
+	if s.hasGrantCall(span) {
 		return false
 	}
 	if !now.Before(s.grantedUntil) {
--- a/internal/relay/ibisrange/plan.go
+++ b/internal/relay/ibisrange/plan.go
@@ -25,15 +25,16 @@
 	if m.server.incarnation.IsZero() {
 		return false
 	}
-	page := m.page.clone()
-	changed := false
+	page, changed := m.page, false
 	for i, r := range page.Ranges {
 		if r.Owner.Node != m.config.Node {
 			continue
 		}
 		if to, handover, ok := m.nextOwner(page, r, now); ok {
+			if !changed {
+				page, changed = page.clone(), true
+			}
 			page.Ranges[i] = r.withOwner(to, handover, m.era)
-			changed = true
 		}
 	}
 	if changed {
@@ -223,16 +224,19 @@
 // planTakeover returns a page in which the ranges of nodes with lapsed leases have new owners, the conditions that each
 // lapsed lease is unchanged, and the lease rows to remove.
 func (m *Manager) planTakeover() (Page, []ibisstore.Condition, []ibisstore.Key) {
+	if !slices.ContainsFunc(m.page.Ranges, m.isOrphaned) {
+		return m.page, nil, nil
+	}
 	page := m.page.clone()
 	owners := m.candidates()
 	var conditions []ibisstore.Condition
 	var removes []ibisstore.Key
 	conditioned := make(map[ibisid.NodeName]bool)
 	for i, r := range page.Ranges {
-		p, known := m.peers[r.Owner.Node]
-		if r.Owner.Node == m.config.Node || !known || !m.lapsed(p) {
+		if !m.isOrphaned(r) {
 			continue
 		}
+		p := m.peers[r.Owner.Node]
 		to, ok := leastLoaded(page, owners)
 		if !ok {
 			return page, nil, nil
@@ -253,3 +257,9 @@
 	}
 	return page, conditions, removes
 }
+
+// isOrphaned reports whether the lease of the range's owner, another node, has lapsed.
+func (m *Manager) isOrphaned(r Range) bool {
+	p, known := m.peers[r.Owner.Node]
+	return r.Owner.Node != m.config.Node && known && m.lapsed(p)
+}
