--- a/internal/relay/ibisdispatch/attempt.go
+++ b/internal/relay/ibisdispatch/attempt.go
@@ -30,6 +30,7 @@
 		Latency:    latency,
 		RetryAfter: answer.RetryAfter,
 		GateLoad:   max(answer.Load, 0),
+		Bytes:      exchangedBytes(order, answer),
 	}
 	if answer.Outcome != ibisid.OutcomeDone {
 		d.recordDone(chooser, event)
@@ -42,6 +43,14 @@
 	return answer
 }
 
+// exchangedBytes returns the size of the bodies of an order and its answer, zero unless there is an answer and both are known.
+func exchangedBytes(order ibismessage.Order, answer ibismessage.Answer) int64 {
+	if answer.Outcome != ibisid.OutcomeDone || order.Length < 0 || answer.Length < 0 {
+		return 0
+	}
+	return order.Length + answer.Length
+}
+
 func (d *Dispatcher) recordSent(p plan, node ibisid.NodeName, class ibisid.ClassName) (*ibisbalancer.Chooser, ibisbalancer.AttemptID, time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/request/ibisbalancer/choice.go
+++ b/internal/request/ibisbalancer/choice.go
@@ -110,6 +110,7 @@
 // answer's latency. The result overBudget reports whether the byte budget excluded candidates in other regions.
 func (c *Chooser) nearestUsable(allowed []*candidateState, r Request, now time.Time) (usable []*candidateState, overBudget bool) {
 	var saturated []*candidateState
+	minUsable := c.minUsable(r.Class)
 	for _, tier := range tiersOf(allowed) {
 		if tier >= tierRemote && (len(usable) > 0 || hasShortQueue(saturated)) {
 			break
@@ -131,7 +132,7 @@
 				free++
 			}
 		}
-		if len(usable) >= c.config.MinUsableCandidates && float64(free) >= minFreeTierShare*float64(eligible) {
+		if len(usable) >= minUsable && float64(free) >= minFreeTierShare*float64(eligible) {
 			break
 		}
 	}
--- a/internal/request/ibisbalancer/chooser.go
+++ b/internal/request/ibisbalancer/chooser.go
@@ -30,6 +30,7 @@
 	random              *rand.Rand
 	candidates          []*candidateState
 	baseline            *ibislatency.Baseline
+	exchangeBytes       map[ibisid.ClassName]*ibislatency.Mean
 	budgets             map[ibisid.RegionName]*byteBudget
 	medianLatencyRatio  float64
 	stragglersCheckedAt time.Time
@@ -44,6 +45,7 @@
 		config:             config,
 		random:             random,
 		baseline:           ibislatency.NewBaseline(),
+		exchangeBytes:      make(map[ibisid.ClassName]*ibislatency.Mean),
 		budgets:            make(map[ibisid.RegionName]*byteBudget),
 		medianLatencyRatio: 1,
 	}
@@ -132,6 +134,7 @@
 		s.gateLoadAt = now
 	}
 	c.charge(s.Place.Region, e.Bytes, now)
+	c.recordBytes(ended.class, e.Bytes)
 	switch e.Result {
 	case ResultDone:
 		c.recordAnswer(s, ended, e.Latency, now)
--- a/internal/request/ibisbalancer/chooser_test.go
+++ b/internal/request/ibisbalancer/chooser_test.go
@@ -172,6 +172,32 @@
 		Entry("long queues", 1.6, other.Domain),
 	)
 
+	// Replays uploads and short requests side by side: each failure domain has one server with room. Short requests spread over
+	// two servers of the region, long ones cross to another failure domain only when the near server has no free slot.
+	DescribeTable("keeps classes of long exchanges at the nearest server with room",
+		func(size int64, load float64, wantNear bool) {
+			near := fleet(1, own)
+			far := fleet(1, ibisid.Place{Region: own.Region, Domain: "espoo-b"})
+			c := newChooser(ibisbalancer.Config{MinUsableCandidates: 2}, append(near, far...))
+			elsewhere := 0
+			for i := range 200 {
+				now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+				choice := ask(c, i, now, func(ibisid.NodeName) ibisbalancer.AttemptEndEvent {
+					done := answer(time.Millisecond)
+					done.Bytes, done.GateLoad = size, load
+					return done
+				})
+				if i >= 10 && choice.Node != near[0].Node {
+					elsewhere++
+				}
+			}
+			Expect(elsewhere == 0).To(Equal(wantNear), "%d of 190 went to the other failure domain", elsewhere)
+		},
+		Entry("60 KB, the near server has room", int64(60<<10), 0.5, true),
+		Entry("60 KB, the near server has no free slot", int64(60<<10), 1.0, false),
+		Entry("1 KB", int64(1<<10), 0.5, false),
+	)
+
 	It("never picks candidates outside the home regions", func() {
 		c := newChooser(ibisbalancer.Config{}, fleet(3, own))
 		choice := c.Choose(ibisbalancer.Request{
--- a/internal/request/ibisbalancer/locality.go
+++ b/internal/request/ibisbalancer/locality.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/request/ibislatency"
 )
 
 const (
@@ -14,6 +15,12 @@
 	tierRemote = 2
 
 	budgetBurst = 2 * time.Second
+
+	// longExchange is the mean size in bytes of request and answer from which a class stays at the nearest candidate with
+	// room: the bytes cost more than a somewhat shorter wait elsewhere saves.
+	longExchange = 16 << 10
+	// exchangeWindow is the number of attempts in the mean size of a class's exchanges.
+	exchangeWindow = 50
 )
 
 // tier returns the distance of a place: own failure domain, own region, then other regions by cost.
@@ -68,6 +75,27 @@
 	b.tokens -= float64(size)
 }
 
+// recordBytes adds the size of a request and its answer to the mean of the class; zero means unknown and is ignored.
+func (c *Chooser) recordBytes(class ibisid.ClassName, size int64) {
+	if size <= 0 {
+		return
+	}
+	m := c.exchangeBytes[class]
+	if m == nil {
+		m = &ibislatency.Mean{}
+		c.exchangeBytes[class] = m
+	}
+	m.Add(float64(size), exchangeWindow)
+}
+
+// minUsable returns the number of usable candidates below which those of the next tier are added.
+func (c *Chooser) minUsable(class ibisid.ClassName) int {
+	if m := c.exchangeBytes[class]; m != nil && m.Value() >= longExchange {
+		return 1
+	}
+	return c.config.MinUsableCandidates
+}
+
 // RegionBytes is the number of bytes exchanged with one other region.
 type RegionBytes struct {
 	// Region is the other region.
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -122,6 +122,10 @@
 
 // ServeHTTP runs a request, or says that it doesn't.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		s.health(w)
+		return
+	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	body, err := io.ReadAll(r.Body)
@@ -162,6 +166,17 @@
 	}
 }
 
+// health answers a health check.
+func (s *Server) health(w http.ResponseWriter) {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	w.Header().Set("Instance-Id", s.config.ID)
+	if leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // checkDrained reports work that arrives long after the node acknowledged that the server leaves.
 func (s *Server) checkDrained(id string) {
 	const bound = 2500 * time.Millisecond
