--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -14,6 +14,8 @@
 	longestGap   = 900 * time.Millisecond
 	longestFault = 5 * time.Second
 	drainTime    = 3 * time.Second
+	// longestRewind is the greatest age of the copy from which the store comes back.
+	longestRewind = 4 * time.Second
 )
 
 // injectAll injects faults one after the other, without waiting for the last one's end, until the context ends.
@@ -48,7 +50,7 @@
 func (s *soak) inject(ctx context.Context) {
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	span := s.span()
-	switch s.random.IntN(12) {
+	switch s.random.IntN(13) {
 	case 0:
 		m := mode(1 + s.random.IntN(int(modes)-1))
 		s.note(n, span, "%s: link to the store in mode %d for %s", n.name, m, span)
@@ -94,6 +96,10 @@
 		s.note(nil, 0, "store: history is forgotten")
 		s.store.Forget()
 	case 11:
+		age := time.Duration(1 + s.random.Int64N(int64(longestRewind)))
+		s.note(nil, span, "store: it comes back from a copy that is %s old", age)
+		s.store.Rewind(age)
+	case 12:
 		first := 1 + s.random.IntN(99)
 		s.note(nil, 0, "configuration changes")
 		s.configure(first, 100-first)
--- a/internal/measure/ibissoak/node.go
+++ b/internal/measure/ibissoak/node.go
@@ -39,6 +39,8 @@
 	peers   *proxy
 	ledger  *ibisapp.Ledger
 	program string
+	// byCall says that the backend server's keys are granted by calls.
+	byCall bool
 
 	mu           sync.Mutex
 	process      *exec.Cmd
@@ -62,7 +64,7 @@
 	portStoreProxy
 )
 
-func newNode(index int, dir, program, store string, ledger *ibisapp.Ledger) (*node, error) {
+func newNode(index int, dir, program, store string, byCall bool, ledger *ibisapp.Ledger) (*node, error) {
 	n := &node{
 		name:    fmt.Sprintf("node-%d", index),
 		domain:  fmt.Sprintf("domain-%d", index%3),
@@ -70,6 +72,7 @@
 		ip:      fmt.Sprintf("127.0.77.%d", index+1),
 		ledger:  ledger,
 		program: program,
+		byCall:  byCall,
 	}
 	if index%2 == 1 {
 		n.service = serviceFloor
@@ -172,6 +175,7 @@
 		Slots:     slots,
 		Queue:     queue,
 		Sharded:   n.service == serviceFloor,
+		ByCall:    n.byCall,
 		Heartbeat: heartbeat,
 		Work:      workTime,
 		Body:      bodyBytes,
--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -119,7 +119,7 @@
 func (s *soak) start() error {
 	s.configure(90, 10)
 	for i := range s.config.Nodes {
-		n, err := newNode(i, s.config.Dir, s.config.Program, storeAddress, s.ledger)
+		n, err := newNode(i, s.config.Dir, s.config.Program, storeAddress, s.byCall(), s.ledger)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", i, err)
 		}
@@ -229,12 +229,23 @@
 	text := fmt.Sprintf(`{"version":"%08x","limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000},`+
 		`"listeners":[{"host":"soak.example","ruleSet":[%s,%s,%s,%s]}],"clusters":[`+
 		`{"name":"desk","healthPath":"/health","maxConnections":64,"coldStartS":1,"coldPerS":1000},`+
-		`{"name":"floor","healthPath":"/health","maxConnections":64,"coldStartS":1,"coldPerS":1000,"sharded":true}]}`, version,
+		`{"name":"floor","healthPath":"/health","maxConnections":64,"coldStartS":1,"coldPerS":1000,"sharded":true,"grants":%q}]}`, version,
 		route("look", "idempotent", "/look/", split, 2), route("order", "non_idempotent", "/order/", `"service":"desk"`, 1),
-		route("keyLook", "idempotent", "/key/look/", `"service":"floor"`, 2), route("keyOrder", "non_idempotent", "/key/order/", `"service":"floor"`, 1))
+		route("keyLook", "idempotent", "/key/look/", `"service":"floor"`, 2), route("keyOrder", "non_idempotent", "/key/order/", `"service":"floor"`, 1), s.grants())
 	s.store.Put("op", "", "config", []byte(text))
 }
 
+// byCall reports whether keys are granted by calls, which is so for every second seed.
+func (s *soak) byCall() bool { return s.config.Seed%2 == 1 }
+
+// grants returns how the configuration says that keys are granted.
+func (s *soak) grants() string {
+	if s.byCall() {
+		return "call"
+	}
+	return "heartbeat"
+}
+
 func (s *soak) end() {
 	for _, n := range s.nodes {
 		n.end()
--- a/internal/relay/ibisrange/guard_test.go
+++ b/internal/relay/ibisrange/guard_test.go
@@ -273,8 +273,17 @@
 		Expect(f.grant.Grants).To(BeEmpty())
 	})
 
+	It("do not return to an older page, such as a late read delivers", func() {
+		f := serving(ibisrange.DeliveryHeartbeat)
+		older := f.pageRow(testPage(nil))
+		f.update(ibisrange.PageEvent{Row: f.pageRow(testPage(func(p *ibisrange.Page) { p.Ranges[0].Next = "n2" }))})
+		f.update(ibisrange.PageEvent{Row: older})
+		Expect(f.beat(ibisrange.HeartbeatEvent{}).Grants).To(BeEmpty())
+	})
+
 	It("keep a range while the answer that grants it may still arrive", func() {
 		f := serving(ibisrange.DeliveryHeartbeat)
+		f.readLeases(7, f.storeClock()+leaseTerm)
 		Expect(f.beat(ibisrange.HeartbeatEvent{}).Grants).To(HaveLen(1))
 		f.now = f.now.Add(time.Second)
 		f.beat(ibisrange.HeartbeatEvent{Draining: true})
--- a/internal/standin/ibisapp/heartbeat.go
+++ b/internal/standin/ibisapp/heartbeat.go
@@ -69,8 +69,9 @@
 		"born":    s.born,
 		"info":    map[string]any{"service": s.config.Service, "version": "v1", "zone": s.config.Domain, "slots": s.config.Slots},
 		"status":  map[string]any{"state": state, "seq": s.seq, "coldLeftMs": 0},
-		"holds":   holds,
-		"freed":   freed,
+	}
+	if !s.config.ByCall {
+		body["holds"], body["freed"] = holds, freed
 	}
 	s.mu.Unlock()
 	sent := time.Now()
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -30,6 +30,8 @@
 	Queue int
 	// Sharded says that it runs requests only for keys that it holds.
 	Sharded bool
+	// ByCall says that the node grants keys by calls instead of in the answers to heartbeats.
+	ByCall bool
 	// Heartbeat is the time between two heartbeats.
 	Heartbeat time.Duration
 	// Work is how long a request takes.
@@ -51,12 +53,14 @@
 	// up is read by the ledger, which may be called with mu held.
 	up atomic.Bool
 
-	mu       sync.Mutex
-	leaving  bool
-	seq      uint64
-	waiting  int
-	holds    []hold
-	freed    [][3]any
+	mu      sync.Mutex
+	leaving bool
+	seq     uint64
+	waiting int
+	holds   []hold
+	freed   [][3]any
+	// tokens holds the highest token seen, by key, where keys are granted by calls.
+	tokens   map[int]uint64
 	ackedOut time.Time
 	beats    chan struct{}
 }
@@ -86,6 +90,7 @@
 		done:   done,
 		end:    end,
 		beats:  make(chan struct{}, 1),
+		tokens: make(map[int]uint64),
 	}
 	s.up.Store(true)
 	s.http = &http.Server{
@@ -122,9 +127,13 @@
 
 // ServeHTTP runs a request, or says that it doesn't.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/health" {
+	switch r.URL.Path {
+	case "/health":
 		s.health(w)
 		return
+	case "/-/grant", "/-/release":
+		s.serveCall(w, r)
+		return
 	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
