--- a/internal/relay/ibisrange/fault_matrix_test.go
+++ b/internal/relay/ibisrange/fault_matrix_test.go
@@ -148,10 +148,12 @@
 	for _, delivery := range deliveries {
 		for _, op := range operations() {
 			It(fmt.Sprintf("leaves one holder per key, increasing tokens and, in the end, every key served: %s, by %s", op.name, delivery), func() {
-				for ordinal := 1; ordinal <= maxFaultedCommits; ordinal++ {
-					for _, fault := range faultCases() {
-						Expect(runWithFault(delivery, op, ordinal, fault)).To(BeEmpty(), "%s, commit %d, %s", op.name, ordinal, fault.name)
-					}
+				faults := faultCases()
+				found := inParallel(maxFaultedCommits*len(faults), func(i int) []string {
+					return runWithFault(delivery, op, 1+i/len(faults), faults[i%len(faults)])
+				})
+				for i, violations := range found {
+					Expect(violations).To(BeEmpty(), "%s, commit %d, %s", op.name, 1+i/len(faults), faults[i%len(faults)].name)
 				}
 			})
 		}
--- a/internal/relay/ibisrange/manager_test.go
+++ b/internal/relay/ibisrange/manager_test.go
@@ -24,18 +24,24 @@
 	}
 })
 
-// expectNoViolations runs an exploration with each of the seeds, several at a time, and expects that none returns a violation.
-func expectNoViolations(first uint64, seeds int, explore func(seed uint64) []string) {
-	found := make([][]string, seeds)
+// inParallel makes n explorations, several at a time, and returns the violations of each.
+func inParallel(n int, explore func(i int) []string) [][]string {
+	found := make([][]string, n)
 	var group errgroup.Group
 	group.SetLimit(runtime.NumCPU())
-	for i := range seeds {
+	for i := range n {
 		group.Go(func() error {
-			found[i] = explore(first + uint64(i))
+			found[i] = explore(i)
 			return nil
 		})
 	}
 	Expect(group.Wait()).To(Succeed())
+	return found
+}
+
+// expectNoViolations makes an exploration with each of the seeds and expects that none returns a violation.
+func expectNoViolations(first uint64, seeds int, explore func(seed uint64) []string) {
+	found := inParallel(seeds, func(i int) []string { return explore(first + uint64(i)) })
 	for i, violations := range found {
 		Expect(violations).To(BeEmpty(), "seed %d", first+uint64(i))
 	}
