--- a/internal/relay/ibisfeed/follower.go
+++ b/internal/relay/ibisfeed/follower.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	// retryWait replaces Options.FeedWait in feed requests after a failure.
-	retryWait = time.Second
-	// minBackoff and maxBackoff bound the delay after a failure, before jitter; changes must be applied again within 3 s of
-	// the end of an outage.
+	// retryWait replaces Options.FeedWait in feed requests after a failure: a request that is lost right before an outage ends
+	// is given up after this time and the store's timeout of 1.5 s.
+	retryWait = 200 * time.Millisecond
+	// minBackoff and maxBackoff bound the delay after a failure, before jitter lengthens it by up to half; changes must be
+	// applied again within 2.5 s of the end of an outage.
 	minBackoff = 200 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
+	maxBackoff = 500 * time.Millisecond
 )
 
 // Options configures a Follower.
--- a/internal/relay/ibisfeed/follower_test.go
+++ b/internal/relay/ibisfeed/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -90,6 +91,27 @@
 		Eventually(func() int { v.mu.Lock(); defer v.mu.Unlock(); return v.fullReads }, "3s").Should(BeNumerically(">=", 2))
 	})
 
+	// Guards against a change that comes into force 3 s after a silent outage: a request that is lost right before the end of
+	// the outage is given up only after its wait and the store's timeout (trouble-3 of the deployment with grants by calls).
+	It("asks with a wait of a fifth of a second after a failure, so that a lost request is soon repeated", func() {
+		store := &failingStore{waits: make(chan time.Duration, 1)}
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		f := ibisfeed.New(store, ibisfeed.Options{
+			Table:                "op",
+			FeedWait:             5 * time.Second,
+			Partitions:           func() []string { return []string{""} },
+			Apply:                func([]ibisstore.Row, bool, uint64) {},
+			OnReachabilityChange: func(bool, error) {},
+		}, zap.NewNop())
+		go f.Run(ctx)
+		var wait time.Duration
+		Eventually(store.waits, "5s").Should(Receive(&wait))
+		Expect(wait).To(Equal(5 * time.Second))
+		Eventually(store.waits, "5s").Should(Receive(&wait))
+		Expect(wait).To(BeNumerically("<=", 200*time.Millisecond))
+	})
+
 	It("stops when its context is cancelled", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
@@ -107,3 +129,21 @@
 		Eventually(ended, "3s").Should(BeClosed())
 	})
 })
+
+// failingStore answers reads and fails feed requests, whose waits it records.
+type failingStore struct {
+	ibisstore.Store
+	waits chan time.Duration
+}
+
+func (s *failingStore) Rows(context.Context, string, string) (ibisstore.Snapshot, error) {
+	return ibisstore.Snapshot{Version: 1}, nil
+}
+
+func (s *failingStore) Feed(ctx context.Context, _ string, _ uint64, wait time.Duration) (ibisstore.Snapshot, error) {
+	select {
+	case s.waits <- wait:
+	case <-ctx.Done():
+	}
+	return ibisstore.Snapshot{}, errors.New("no answer")
+}
