--- a/internal/relay/ibisadmission/guard_test.go
+++ b/internal/relay/ibisadmission/guard_test.go
@@ -235,6 +235,49 @@
 		Expect(a.Outcome).To(Equal(ibisid.OutcomeDone))
 	})
 
+	It("sends nothing to the server when the key was given away, or the time ran out, while the request waited for a slot", func() {
+		for _, meanwhile := range []func(){
+			func() { keys.setKeyState(ibisrange.KeyStateElsewhere) },
+			func() { clock.Advance(2 * time.Second) },
+		} {
+			keys.setKeyState(ibisrange.KeyStateHeld)
+			sharded := rules
+			sharded.Sharded = true
+			guard = ibisadmission.New(server, keys, limits, clock, zap.NewNop())
+			guard.SetRules(sharded)
+			guard.SetServer(state(ibisroster.StateServing), 0)
+			before := server.count()
+			keyed := order()
+			keyed.Key = 7
+			for range 2 {
+				long := keyed
+				long.Deadline = clock.Now().Add(time.Hour)
+				send(context.Background(), long)
+			}
+			Eventually(server.count).Should(Equal(before + 2))
+			waiting := send(context.Background(), keyed)
+			Eventually(func() int { return guard.Stats().Waiting }).Should(Equal(1))
+			meanwhile()
+			server.answers <- okAnswer()
+			var a ibismessage.Answer
+			Eventually(waiting).Should(Receive(&a))
+			Expect(a.Outcome).To(Equal(ibisid.OutcomeNotRun))
+			Expect(server.count()).To(Equal(before + 2))
+			server.answers <- okAnswer()
+		}
+	})
+
+	It("refuses every new request once its node stops", func() {
+		guard.SetRules(rules)
+		guard.SetServer(state(ibisroster.StateServing), 0)
+		guard.Stop()
+		refused := send(context.Background(), order())
+		var a ibismessage.Answer
+		Eventually(refused).Should(Receive(&a))
+		Expect(a.Reason).To(Equal(ibismessage.ReasonStopping))
+		Expect(server.count()).To(BeZero())
+	})
+
 	It("drops a request whose caller leaves while it waits", func() {
 		guard.SetRules(rules)
 		guard.SetServer(state(ibisroster.StateServing), 0)
