--- a/internal/relay/ibisdispatch/retry.go
+++ b/internal/relay/ibisdispatch/retry.go
@@ -73,14 +73,14 @@
 	return d.pages[service].version
 }
 
-// retryAfter returns a retry-after time with jitter; it takes f.mu.
+// retryAfter returns a retry-after time with jitter; it takes d.mu.
 func (d *Dispatcher) retryAfter(after time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.jitter(after)
 }
 
-// jitter lengthens a retry-after time by a random share; f.mu is held.
+// jitter lengthens a retry-after time by a random share; d.mu is held.
 func (d *Dispatcher) jitter(after time.Duration) time.Duration {
 	return ibisretrypolicy.AddJitter(after, d.random)
 }
--- a/internal/relay/ibislink/pool_test.go
+++ b/internal/relay/ibislink/pool_test.go
@@ -171,6 +171,30 @@
 		Expect(err).To(MatchError(ibislink.ErrNotSent))
 	})
 
+	It("sends a request without headers", func() {
+		address, _ := serve(func(_, _ int, _ string) (string, bool) { return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false })
+		p := ibislink.New(ibislink.Options{Address: address})
+		DeferCleanup(p.Close)
+		response, err := p.Exchange(ctx, ibislink.Request{Method: http.MethodGet, URI: "/health", Host: "mats.example"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(response)).To(Equal("ok"))
+	})
+
+	It("opens no connection and writes nothing if its caller doesn't allow it", func() {
+		address, requestIDs := serve(func(_, _ int, id string) (string, bool) { return completeResponse(id, "ok"), false })
+		refused := errors.New("not allowed")
+		p := ibislink.New(ibislink.Options{Address: address, MayDial: func() error { return refused }})
+		_, err := p.Exchange(ctx, request("r1"))
+		Expect(err).To(And(MatchError(ibislink.ErrNotSent), MatchError(refused)))
+		p = ibislink.New(ibislink.Options{Address: address})
+		DeferCleanup(p.Close)
+		late := request("r1")
+		late.Begin = func(*ibislink.Request) error { return refused }
+		_, err = p.Exchange(ctx, late)
+		Expect(err).To(And(MatchError(ibislink.ErrNotSent), MatchError(refused)))
+		Consistently(requestIDs, "50ms").ShouldNot(Receive())
+	})
+
 	It("opens at most MaxOpen connections", func() {
 		release := make(chan struct{})
 		address, requestIDs := serve(func(_, _ int, id string) (string, bool) {
--- a/internal/relay/ibislink/request.go
+++ b/internal/relay/ibislink/request.go
@@ -15,7 +15,7 @@
 	URI string
 	// Host is the value of the Host header.
 	Host string
-	// Header holds the other headers; Exchange doesn't modify it.
+	// Header holds the other headers, nil for none; Exchange doesn't modify it.
 	Header http.Header
 	// Body is the body, nil for none.
 	Body io.Reader
@@ -59,6 +59,9 @@
 		Header:        r.Header,
 		ContentLength: r.Length,
 	}
+	if out.Header == nil {
+		out.Header = make(http.Header)
+	}
 	if r.Body != nil && r.Length != 0 {
 		out.Body = io.NopCloser(r.Body)
 	} else {
--- a/internal/relay/ibisrange/era.go
+++ b/internal/relay/ibisrange/era.go
@@ -38,16 +38,7 @@
 		return version != 0
 	}
 	if era > m.era {
-		m.era, m.eraSince = era, 0
-		m.survivor = nil
-		m.peers = make(map[ibisid.NodeName]peerLease)
-		m.leasesReadAt, m.leasesSeenAt = time.Time{}, 0
-		m.lease.version, m.lease.eraBegan = 0, true
-		m.lease.unanswered = nil
-		m.dutySince = time.Time{}
-		if m.pending != nil && !m.pending.sent {
-			m.pending = nil
-		}
+		m.beginEra(era)
 	}
 	if m.eraSince == 0 {
 		m.eraSince = clock
@@ -55,6 +46,21 @@
 	return false
 }
 
+// beginEra forgets what the store said of other leases and of the own lease's row, and a commit that would have to be sent
+// again.
+func (m *Manager) beginEra(era uint64) {
+	m.era, m.eraSince = era, 0
+	m.survivor = nil
+	m.peers = make(map[ibisid.NodeName]peerLease)
+	m.leasesReadAt, m.leasesSeenAt = time.Time{}, 0
+	m.lease.version, m.lease.eraBegan = 0, true
+	m.lease.unanswered = nil
+	m.dutySince = time.Time{}
+	if m.pending != nil && !m.pending.sent {
+		m.pending = nil
+	}
+}
+
 // keepSurvivor keeps a page that was written in an earlier era; it is used like the page itself only if none is known.
 func (m *Manager) keepSurvivor(page Page, version uint64) {
 	if m.survivor != nil && version <= m.survivor.version {
