--- a/internal/relay/ibislink/pool_test.go
+++ b/internal/relay/ibislink/pool_test.go
@@ -172,7 +172,9 @@
 	})
 
 	It("sends a request without headers", func() {
-		address, _ := serve(func(_, _ int, _ string) (string, bool) { return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false })
+		address, _ := serve(func(_, _ int, _ string) (string, bool) {
+			return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false
+		})
 		p := ibislink.New(ibislink.Options{Address: address})
 		DeferCleanup(p.Close)
 		response, err := p.Exchange(ctx, ibislink.Request{Method: http.MethodGet, URI: "/health", Host: "mats.example"})
