Tell why a caller's connection ended without a complete answer

Callers saw their connection closed without an answer, and the node said only "answer was not sent in full", which did not tell a source that broke off from a caller that left or a connection that failed; a caller that had left, an answer whose last bytes could not be written and a refusal that could not be written left no line at all.

WriteAnswer now returns a Cut with its cause, the node, and the bytes sent of how many; reads and writes are told apart where they fail, and a context that had ended before decides for the caller's leaving or the exit of the process (a failed write ends the context itself, so it is looked at before each write). The last bytes are flushed, so that their failure is seen; an answer with a known length still goes out in the same writes. ibisridge_answers_cut_total{cause} counts, one line "connection closed without a complete answer" has the cause, class, node, request, time held, configuration and its age.

No behaviour towards callers changes.

--- a/internal/relay/ibisdispatch/attempt.go
+++ b/internal/relay/ibisdispatch/attempt.go
@@ -19,6 +19,7 @@
 func (d *Dispatcher) attempt(ctx context.Context, p plan, member ibisroster.Member, order ibismessage.Order) ibismessage.Answer {
 	chooser, id, began := d.recordSent(p, member.Node, order.Class)
 	answer := d.peers.Send(ctx, member, order)
+	answer.Node = member.Node
 	latency := d.clock.Now().Sub(began)
 	if answer.Outcome == ibisid.OutcomeDone {
 		answer = bufferShortAnswer(answer)
@@ -94,6 +95,7 @@
 		_ = a.Body.Close()
 		broken := ibismessage.Unknown(ibismessage.ReasonConnectionFailed, fmt.Errorf("read the body of the answer: %w", err))
 		broken.Load = a.Load
+		broken.Node = a.Node
 		return broken
 	}
 	if len(body) < ibismessage.MaxBufferedAnswerBytes {
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -44,6 +44,8 @@
 type Meter interface {
 	// RecordRequest counts a request of a caller, with its answer and the time from its arrival to its answer.
 	RecordRequest(class ibisid.ClassName, answer ibismessage.Answer, held time.Duration)
+	// RecordCut counts a request of a caller whose connection was closed without a complete answer.
+	RecordCut(cause ibismessage.CutCause)
 }
 
 // Config identifies the node of a dispatcher.
@@ -66,6 +68,7 @@
 
 	mu          sync.Mutex
 	config      *ibisroute.Config
+	configSince time.Time
 	outDomains  ibisset.Set[ibisid.DomainName]
 	roster      *ibisroster.Roster
 	pages       map[ibisid.ServiceName]pageView
@@ -117,7 +120,7 @@
 	if d.config != nil && d.config.Version() >= config.Version() {
 		return false
 	}
-	d.config = config
+	d.config, d.configSince = config, d.clock.Now()
 	classes := make(ibisset.Set[ibisid.ClassName])
 	for _, route := range config.Routes() {
 		classes.Add(route.Name)
--- a/internal/relay/ibisdispatch/log.go
+++ b/internal/relay/ibisdispatch/log.go
@@ -68,3 +68,36 @@
 		zap.Duration("retryAfter", answer.RetryAfter),
 		zap.Error(answer.Err))...)
 }
+
+// RecordCut counts and logs a request whose connection is closed without a complete answer. The line has the configuration in
+// force now and its age, which tells whether it changed while the request ran.
+func (d *Dispatcher) RecordCut(request Request, cut *ibismessage.Cut) {
+	d.meter.RecordCut(cut.Cause)
+	d.mu.Lock()
+	config, since := d.config, d.configSince
+	d.mu.Unlock()
+	now := d.clock.Now()
+	fields := []zap.Field{
+		zap.String("cause", string(cut.Cause)),
+		zap.String("request", request.ID),
+		zap.String("host", request.Host),
+		zap.String("path", request.Path),
+		zap.String("node", string(cut.Node)),
+		zap.Int64("sent", cut.SentBytes),
+		zap.Int64("length", cut.Length),
+		zap.Duration("patience", request.CallerTimeout),
+		zap.Duration("held", now.Sub(request.Arrived)),
+		zap.Error(cut.Err),
+	}
+	if config != nil {
+		if route, ok := config.Match(request.Host, request.Path); ok {
+			fields = append(fields, zap.String("class", string(route.Name)))
+		}
+		fields = append(fields, zap.Uint64("config", uint64(config.Version())), zap.Duration("configAge", now.Sub(since)))
+	}
+	level := zap.WarnLevel
+	if cut.Cause == ibismessage.CutCauseCallerLeft {
+		level = zap.InfoLevel
+	}
+	d.log.Log(level, "connection closed without a complete answer", fields...)
+}
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -212,4 +212,37 @@
 			Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
 		}
 	})
+
+	It("tells an answer that can't be read from one that can't be written, with the bytes sent of how many", func() {
+		answer := answering(100_000)(context.Background(), order())
+		answer.Node = "n2"
+		cut := ibisforward.WriteAnswer(context.Background(), &failingWriter{ResponseRecorder: httptest.NewRecorder(), writes: 1}, answer)
+		Expect(cut).To(HaveField("Cause", ibismessage.CutCauseConnection))
+		Expect(cut).To(HaveField("SentBytes", BeNumerically("==", ibismessage.MaxBufferedAnswerBytes)))
+		Expect(cut).To(HaveField("Length", BeNumerically("==", 100_000)))
+		Expect(cut).To(HaveField("Node", ibisid.NodeName("n2")))
+
+		broken := ibismessage.Answer{
+			Outcome: ibisid.OutcomeDone, Status: http.StatusOK, Length: 9,
+			Body: brokenBody{Reader: strings.NewReader("half")},
+		}
+		cut = ibisforward.WriteAnswer(context.Background(), httptest.NewRecorder(), broken)
+		Expect(cut).To(HaveField("Cause", ibismessage.CutCauseSource))
+		Expect(cut).To(HaveField("SentBytes", BeNumerically("==", 4)))
+		Expect(cut).To(MatchError(io.ErrUnexpectedEOF))
+	})
 })
+
+// failingWriter fails after some writes.
+type failingWriter struct {
+	*httptest.ResponseRecorder
+	writes int
+}
+
+func (w *failingWriter) Write(p []byte) (int, error) {
+	if w.writes == 0 {
+		return 0, io.ErrClosedPipe
+	}
+	w.writes--
+	return w.ResponseRecorder.Write(p)
+}
--- a/internal/relay/ibisforward/server.go
+++ b/internal/relay/ibisforward/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -52,7 +53,17 @@
 				rateLimiter: rateLimiter,
 			}
 		}
-		WriteAnswer(w, answer, log)
+		if cut := WriteAnswer(r.Context(), w, answer); cut != nil {
+			log.Warn("answer to another node was cut off; closing the connection",
+				zap.String("request", order.ID),
+				zap.String("class", string(order.Class)),
+				zap.String("from", r.RemoteAddr),
+				zap.String("cause", string(cut.Cause)),
+				zap.Int64("sent", cut.SentBytes),
+				zap.Int64("length", cut.Length),
+				zap.Error(cut.Err))
+			panic(http.ErrAbortHandler)
+		}
 	})
 }
 
@@ -75,9 +86,10 @@
 	return n, err
 }
 
-// WriteAnswer writes a backend server's answer unchanged. If the answer can't be read or written to its end, it panics with
-// http.ErrAbortHandler, which closes the connection, so that the receiver can't take the answer as complete.
-func WriteAnswer(w http.ResponseWriter, answer ibismessage.Answer, log *zap.Logger) {
+// WriteAnswer writes a backend server's answer unchanged; the context is that of the request. If it can't read or write the
+// answer to its end, it returns why: the connection must then be closed, so that the receiver can't take the answer as
+// complete.
+func WriteAnswer(ctx context.Context, w http.ResponseWriter, answer ibismessage.Answer) *ibismessage.Cut {
 	defer func() { _ = answer.Body.Close() }()
 	header := w.Header()
 	maps.Copy(header, answer.Header)
@@ -91,31 +103,58 @@
 		header["Content-Length"] = []string{strconv.FormatInt(answer.Length, 10)}
 	}
 	w.WriteHeader(answer.Status)
-	if err := copyBody(w, answer.Body); err != nil {
-		log.Warn("answer was not sent in full; closing the connection", zap.Error(err))
-		panic(http.ErrAbortHandler)
+	sent, cut := copyBody(ctx, w, answer.Body)
+	if cut == nil && answer.Length >= 0 {
+		// The rest of a body of unknown length goes out with its end mark, in one write.
+		cut = Flush(ctx, w)
+	}
+	if cut != nil {
+		cut.Node = answer.Node
+		cut.SentBytes = sent
+		cut.Length = answer.Length
 	}
+	return cut
 }
 
-// copyBody passes a body on as it arrives: bytes that have been read are flushed before the next read can block.
-func copyBody(w http.ResponseWriter, body io.Reader) error {
-	flusher, _ := w.(http.Flusher)
+// Flush sends what has been written of an answer and returns why it can't, nil if it can.
+func Flush(ctx context.Context, w http.ResponseWriter) *ibismessage.Cut {
+	left := ibismessage.NewCut(ctx, ibismessage.CutCauseConnection, nil)
+	if err := http.NewResponseController(w).Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		left.Err = fmt.Errorf("write the answer: %w", err)
+		return left
+	}
+	return nil
+}
+
+// copyBody passes a body on as it arrives: bytes that have been read are flushed before the next read can block. It returns
+// the number of bytes written.
+func copyBody(ctx context.Context, w http.ResponseWriter, body io.Reader) (int64, *ibismessage.Cut) {
 	buffer := make([]byte, ibismessage.MaxBufferedAnswerBytes)
-	for {
+	for sent := int64(0); ; {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			if _, werr := w.Write(buffer[:n]); werr != nil {
-				return werr
+			// A failed write ends the context, too.
+			cut := ibismessage.NewCut(ctx, ibismessage.CutCauseConnection, nil)
+			written, werr := w.Write(buffer[:n])
+			sent += int64(written)
+			if errors.Is(werr, http.ErrContentLength) {
+				cut.Cause = ibismessage.CutCauseSource
+			}
+			if werr != nil {
+				cut.Err = fmt.Errorf("write the answer: %w", werr)
+				return sent, cut
 			}
 		}
 		if err == io.EOF {
-			return nil
+			return sent, nil
 		}
 		if err != nil {
-			return err
+			return sent, ibismessage.NewCut(ctx, ibismessage.CutCauseSource, fmt.Errorf("read the answer: %w", err))
 		}
-		if flusher != nil && n < len(buffer) {
-			flusher.Flush()
+		if n < len(buffer) {
+			if cut := Flush(ctx, w); cut != nil {
+				return sent, cut
+			}
 		}
 	}
 }
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -73,6 +73,8 @@
 	Arrived bool
 	// Load is the number of running and waiting requests at the node's admission, divided by its limit; negative if unknown.
 	Load float64
+	// Node is the node that the answer came from, empty if no node was asked.
+	Node ibisid.NodeName
 	// Status is the backend server's HTTP status.
 	Status int
 	// Header holds the backend server's end-to-end headers.
--- a/internal/relay/ibismeter/meter.go
+++ b/internal/relay/ibismeter/meter.go
@@ -74,6 +74,11 @@
 	c.latency.Update(elapsed.Seconds())
 }
 
+// RecordCut counts a request of a caller whose connection was closed without a complete answer.
+func (m *Meter) RecordCut(cause ibismessage.CutCause) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("ibisridge_answers_cut_total{cause=%q}", cause)).Inc()
+}
+
 // RequestTotals returns the counts of callers' requests so far, sorted by class, outcome and reason.
 func (m *Meter) RequestTotals() []ibisstatus.RequestCount {
 	m.mu.Lock()
