Tell routes of one name apart

Callers of a route lost their channel without an answer: the handler panicked with

runtime error: index out of range [2] with length 2 ... ibisroute.(*Splitter).Next

at every request (the new test, against the old code) where two routes of one configuration share a name, on two hosts or under two prefixes, and have splits of different lengths: the splitter kept one set of credits for both. Splits of one length shared their credits, so that neither had its shares. The ages of callers, gate queues with their priorities, latencies of choosers and metrics were shared by name as well; the priority of a gate's class and the home regions of a service were those of whichever route came last in the iteration of a map, so nodes could differ.

A route is identified by host and prefix. A Config now puts them into the name of routes that share one, so that each is a class of its own at every place; the splitter's key has them anyway. Routes come sorted. The home regions of a service are those common to all its routes that have any, or all of them if none is: requests of a route never leave its homes, so an owner in the common homes serves every route. That the former choice depended on the map was read, not run.

--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -286,6 +286,33 @@
 		Expect(p.sent).To(BeEmpty())
 	})
 
+	It("serves routes of one name with splits of different lengths, and tells their callers apart", func() {
+		split := func(host string, patience time.Duration, services ...ibisid.ServiceName) ibisroute.Route {
+			r := ibisroute.Route{
+				Name: "same", Host: host, Prefix: "/", Kind: ibisroute.KindIdempotent, Target: patience, Timeout: patience, MaxAttempts: 1,
+			}
+			for _, service := range services {
+				r.Services = append(r.Services, ibisroute.WeightedService{Service: service, Weight: 1})
+			}
+			return r
+		}
+		Expect(dispatcher.SetConfig(ibisroute.New(4, ibisroute.Limits{}, []ibisroute.Service{{Name: "desk"}, {Name: "floor"}, {Name: "print"}}, []ibisroute.Route{
+			split("two.example", 5*time.Second, "desk", "floor"),
+			split("three.example", time.Second, "desk", "floor", "print"),
+		}))).To(BeTrue())
+		ask := func(host string, patience time.Duration) ibismessage.Answer {
+			return dispatcher.Serve(context.Background(), ibisdispatch.Request{
+				ID: "r1", Method: http.MethodGet, URI: "/1", Path: "/1", Host: host, CallerTimeout: patience, Arrived: clock.Now(),
+			})
+		}
+		for range 4 {
+			Expect(ask("two.example", 5*time.Second).Outcome).To(Equal(ibisid.OutcomeDone))
+		}
+		three := []ibismessage.Answer{ask("three.example", time.Second), ask("three.example", time.Second), ask("three.example", time.Second)}
+		Expect(three).To(ConsistOf(HaveField("Outcome", ibisid.OutcomeDone), HaveField("Outcome", ibisid.OutcomeDone), HaveField("Reason", ibismessage.ReasonNoServer)))
+		Expect(p.orders[len(p.orders)-1].Target).To(Equal(clock.Now().Add(time.Second)), "not counted as a later attempt of a caller of the other route")
+	})
+
 	It("rejects an older configuration", func() {
 		Expect(dispatcher.SetConfig(ibisroute.New(2, ibisroute.Limits{}, nil, nil))).To(BeFalse())
 		Expect(dispatcher.Config().Version()).To(BeEquivalentTo(3))
--- a/internal/relay/ibisroute/config.go
+++ b/internal/relay/ibisroute/config.go
@@ -1,6 +1,7 @@
 package ibisroute
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 )
 
 // Version is the version of a configuration; versions only grow, in uneven steps.
@@ -53,7 +55,8 @@
 
 // Route sets the service, times and limits of the requests below a path prefix of a host.
 type Route struct {
-	// Name is the name of the route and of its request class.
+	// Name is the name of the route and of its request class. Routes of a Config that would share one have their host and
+	// prefix in it, so that each is a class of its own.
 	Name ibisid.ClassName
 	// Host is the host that the route belongs to.
 	Host string
@@ -113,6 +116,7 @@
 	version  Version
 	limits   Limits
 	hosts    map[string]map[string]*Route
+	routes   []*Route
 	services map[ibisid.ServiceName]Service
 }
 
@@ -137,9 +141,31 @@
 		}
 		c.add(&route)
 	}
+	for _, prefixes := range c.hosts {
+		c.routes = slices.AppendSeq(c.routes, maps.Values(prefixes))
+	}
+	slices.SortFunc(c.routes, func(a, b *Route) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Prefix, b.Prefix))
+	})
+	c.separateClasses()
 	return c
 }
 
+// separateClasses makes the names of the routes that can be served unique.
+func (c *Config) separateClasses() {
+	shared := make(map[ibisid.ClassName]int)
+	for _, r := range c.routes {
+		if r.Fault == nil {
+			shared[r.Name]++
+		}
+	}
+	for _, r := range c.routes {
+		if r.Fault == nil && shared[r.Name] > 1 {
+			r.Name = ibisid.ClassName(fmt.Sprintf("%s (%s%s)", r.Name, r.Host, r.Prefix))
+		}
+	}
+}
+
 // add adds a route to its host; of two with one prefix, the one that can be served is kept.
 func (c *Config) add(route *Route) {
 	prefixes := c.hosts[route.Host]
@@ -201,13 +227,29 @@
 // Services returns the names of all services, sorted.
 func (c *Config) Services() []ibisid.ServiceName { return slices.Sorted(maps.Keys(c.services)) }
 
-// Routes returns all routes in no particular order.
-func (c *Config) Routes() []*Route {
-	var all []*Route
-	for _, prefixes := range c.hosts {
-		all = slices.AppendSeq(all, maps.Values(prefixes))
+// Routes returns all routes, sorted by host and prefix.
+func (c *Config) Routes() []*Route { return slices.Clone(c.routes) }
+
+// Homes returns the regions that may own keys of a service, sorted, or none if all may: those that are homes of every route
+// to the service that has any. If no region is, the homes of all these routes together.
+func (c *Config) Homes(service ibisid.ServiceName) []ibisid.RegionName {
+	var routes int
+	counts := make(map[ibisid.RegionName]int)
+	for _, r := range c.routes {
+		if len(r.Homes) == 0 || !slices.ContainsFunc(r.Services, func(w WeightedService) bool { return w.Service == service }) {
+			continue
+		}
+		routes++
+		for region := range ibisset.Of(r.Homes...) {
+			counts[region]++
+		}
+	}
+	all := slices.Sorted(maps.Keys(counts))
+	common := slices.DeleteFunc(slices.Clone(all), func(region ibisid.RegionName) bool { return counts[region] < routes })
+	if len(common) == 0 {
+		return all
 	}
-	return all
+	return common
 }
 
 // Match returns the route of the host with the longest prefix of the path, and whether there is one.
--- a/internal/relay/ibisroute/splitter.go
+++ b/internal/relay/ibisroute/splitter.go
@@ -8,9 +8,11 @@
 	credits map[splitKey][]int
 }
 
+// splitKey identifies a route of one configuration.
 type splitKey struct {
 	version Version
-	route   ibisid.ClassName
+	host    string
+	prefix  string
 }
 
 // NewSplitter returns a splitter that has not distributed any requests.
@@ -27,7 +29,8 @@
 	}
 	key := splitKey{
 		version: version,
-		route:   r.Name,
+		host:    r.Host,
+		prefix:  r.Prefix,
 	}
 	credits := s.credits[key]
 	if credits == nil {
