--- a/internal/program/ibiscli/explain.go
+++ b/internal/program/ibiscli/explain.go
@@ -75,6 +75,7 @@
 	"noServer":      "no backend server of the service may run it",
 	"stopping":      "the node was about to end",
 	"noRoute":       "no route matches host and path",
+	"internal":      "the node failed by a fault of its own; its log has the stack: it may have run",
 	"faultyRoute":   "the configuration of the matching route can't be used; the log line of the configuration says why",
 	"noConfig":      "the node knew no configuration yet",
 	"tooLong":       "the body is longer than the configuration allows",
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -48,6 +48,8 @@
 	ReasonFaultyRoute Reason = "faultyRoute"
 	// ReasonNoConfig means that no configuration is known yet.
 	ReasonNoConfig Reason = "noConfig"
+	// ReasonInternal means that the node failed by a fault of its own while it handled the request.
+	ReasonInternal Reason = "internal"
 	// ReasonBadRequest means that the request is malformed.
 	ReasonBadRequest Reason = "badRequest"
 )
