Take an answer of unknown outcome as one that may have run

A node whose answer header has no outcome, or one that this node does not know, was taken neither as "not run" nor as "may have run": the request was sent to a second node even where it must run at most once, and a refusal of that node was then answered 503, which promises that nothing ran.

The decoder refuses other outcomes, which makes the answer unknown, and the retrier counts everything but "not run" as may have run.

--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -198,6 +198,18 @@
 		Expect(answer.Reason).To(Equal(ibismessage.ReasonUnreachable))
 	})
 
+	It("takes an answer whose outcome it does not know as one of an order that may have run", func() {
+		for _, header := range []string{"", "{", "{}", `{"outcome":"later"}`, `{"outcome":"notRun","retryAfterMs":"1"}`} {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Ibis-Answer", header)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			answer := ibisforward.NewClient(clock).Send(context.Background(), strings.TrimPrefix(server.URL, "http://"), order())
+			Expect(answer.Outcome).To(Equal(ibisid.OutcomeUnknown), header)
+			server.Close()
+		}
+	})
+
 	It("rejects a request that is not an order of a node", func() {
 		_, address := newClient(func(context.Context, ibismessage.Order) ibismessage.Answer {
 			panic("a malformed order must not reach the target")
--- a/internal/relay/ibisforward/wire.go
+++ b/internal/relay/ibisforward/wire.go
@@ -123,6 +123,11 @@
 	if err := json.Unmarshal([]byte(text), &h); err != nil {
 		return ibismessage.Answer{}, fmt.Errorf("decode the answer header: %w", err)
 	}
+	switch h.Outcome {
+	case ibisid.OutcomeDone, ibisid.OutcomeNotRun, ibisid.OutcomeUnknown:
+	default:
+		return ibismessage.Answer{}, fmt.Errorf("decode the answer header: outcome %q is not known", h.Outcome)
+	}
 	return ibismessage.Answer{
 		Outcome:     h.Outcome,
 		Reason:      h.Reason,
--- a/internal/relay/ibisretrypolicy/retrier.go
+++ b/internal/relay/ibisretrypolicy/retrier.go
@@ -85,7 +85,7 @@
 	if t.Outcome == ibisid.OutcomeDone {
 		return StepAnswer
 	}
-	r.mayHaveRun = r.mayHaveRun || t.Outcome == ibisid.OutcomeUnknown
+	r.mayHaveRun = r.mayHaveRun || t.Outcome != ibisid.OutcomeNotRun
 	if r.tries >= maxTries || r.request.Keyed && !t.Redirected || !r.mayRetry(t, budget, now) {
 		return StepFail
 	}
@@ -102,7 +102,7 @@
 		// If one gate is full, others probably are too: the refusal must reach the caller before the delay costs the caller
 		// anything.
 		return !t.GateFull || now.Sub(r.request.Arrived) < r.request.Target/gateFullTargetDivisor
-	case t.Outcome == ibisid.OutcomeUnknown && !r.request.Repeatable:
+	case t.Outcome != ibisid.OutcomeNotRun && !r.request.Repeatable:
 		return false
 	case r.arrivals >= r.request.MaxAttempts:
 		return false
