Update the choosers of services that a configuration drops

A request planned under one configuration and retried under the next, which drops its service, went to nodes whose failure domain had been taken out since, or to a node without name and address once its member had gone: only the choosers of the services of the configuration in force were updated. Callers got a refusal late; no lost connection came of it.

All choosers are updated; one of a service that two successive configurations lack is removed, which bounds them under thousands of changes, and made again for a request that still needs it. A candidate that is no member is refused as not run instead of being sent to an empty address.

--- a/internal/relay/ibisdispatch/attempt.go
+++ b/internal/relay/ibisdispatch/attempt.go
@@ -57,7 +57,7 @@
 	defer d.mu.Unlock()
 	d.nextID++
 	now := d.clock.Now()
-	chooser := d.choosers[p.service.Name]
+	chooser := d.chooser(p.service.Name)
 	chooser.Update(ibisbalancer.AttemptSentEvent{
 		ID:    d.nextID,
 		Node:  node,
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -120,6 +122,7 @@
 	if d.config != nil && d.config.Version() >= config.Version() {
 		return false
 	}
+	d.removeChoosers(d.config, config)
 	d.config, d.configSince = config, d.clock.Now()
 	classes := make(ibisset.Set[ibisid.ClassName])
 	for _, route := range config.Routes() {
@@ -247,27 +250,52 @@
 	}
 }
 
-// refresh updates the candidates of every chooser from the roster; f.mu is held.
+// refresh updates the candidates of every chooser from the roster, also of services that the configuration has dropped, which
+// running requests may still be sent to; d.mu is held.
 func (d *Dispatcher) refresh() {
 	if d.config == nil {
 		return
 	}
 	for _, name := range d.config.Services() {
-		chooser := d.choosers[name]
-		if chooser == nil {
-			chooser = ibisbalancer.New(ChooserConfig(d.settings.Place), d.random)
-			d.choosers[name] = chooser
-		}
-		var candidates []ibisbalancer.Candidate
-		for _, m := range d.roster.ForService(name) {
-			if m.AcceptsWork() && !d.outDomains.Has(m.Place.Domain) && !d.unreachable.Has(m.Node) {
-				candidates = append(candidates, Candidate(m.Node, m.Place, m.Server.Slots))
-			}
+		d.chooser(name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.choosers)) {
+		d.updateCandidates(name)
+	}
+}
+
+// chooser returns the chooser of a service and creates it if necessary; d.mu is held.
+func (d *Dispatcher) chooser(service ibisid.ServiceName) *ibisbalancer.Chooser {
+	if d.choosers[service] == nil {
+		d.choosers[service] = ibisbalancer.New(ChooserConfig(d.settings.Place), d.random)
+		d.updateCandidates(service)
+	}
+	return d.choosers[service]
+}
+
+// updateCandidates updates the candidates of a service's chooser from the roster; d.mu is held.
+func (d *Dispatcher) updateCandidates(service ibisid.ServiceName) {
+	var candidates []ibisbalancer.Candidate
+	for _, m := range d.roster.ForService(service) {
+		if m.AcceptsWork() && !d.outDomains.Has(m.Place.Domain) && !d.unreachable.Has(m.Node) {
+			candidates = append(candidates, Candidate(m.Node, m.Place, m.Server.Slots))
 		}
-		chooser.Update(ibisbalancer.CandidatesEvent{
-			Candidates: ibisbalancer.SelectSubset(d.settings.Node, d.settings.Place, candidates),
-		}, d.clock.Now())
 	}
+	d.choosers[service].Update(ibisbalancer.CandidatesEvent{
+		Candidates: ibisbalancer.SelectSubset(d.settings.Node, d.settings.Place, candidates),
+	}, d.clock.Now())
+}
+
+// removeChoosers removes the choosers of services that neither of two successive configurations has; d.mu is held.
+func (d *Dispatcher) removeChoosers(before, after *ibisroute.Config) {
+	if before == nil {
+		return
+	}
+	maps.DeleteFunc(d.choosers, func(name ibisid.ServiceName, _ *ibisbalancer.Chooser) bool {
+		_, had := before.Service(name)
+		_, has := after.Service(name)
+		return !had && !has
+	})
 }
 
 // Serve sends a request to a backend server and returns its answer, or an answer with the reason why there is none.
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -313,6 +313,31 @@
 		Expect(p.orders[len(p.orders)-1].Target).To(Equal(clock.Now().Add(time.Second)), "not counted as a later attempt of a caller of the other route")
 	})
 
+	It("sends a retry of a service that a new configuration drops to no node that has left or whose domain is out", func() {
+		for _, leave := range []func(){
+			func() { dispatcher.SetOutDomains(ibisset.Of[ibisid.DomainName]("kandy-a", "kandy-b", "colombo-a")) },
+			func() {
+				dispatcher.UpdateRoster(func(r *ibisroster.Roster) {
+					for _, node := range []ibisid.NodeName{"a", "b", "c"} {
+						r.Remove(node, 10)
+					}
+				})
+			},
+		} {
+			p.sent = nil
+			p.answer = func(int, ibisid.NodeName) ibismessage.Answer {
+				dispatcher.SetConfig(ibisroute.New(dispatcher.Config().Version()+1, ibisroute.Limits{}, nil, nil))
+				leave()
+				return ibismessage.NotRun(ibismessage.ReasonUnreachable, 0, nil)
+			}
+			route, _ := dispatcher.Config().Match("mats.example", "/look/1")
+			Expect(serve("/look/1").Outcome).To(Equal(ibisid.OutcomeNotRun))
+			Expect(p.sent).To(HaveLen(1))
+			dispatcher.SetOutDomains(nil)
+			dispatcher.SetConfig(ibisroute.New(dispatcher.Config().Version()+1, ibisroute.Limits{}, []ibisroute.Service{{Name: "desk"}}, []ibisroute.Route{*route}))
+		}
+	})
+
 	It("rejects an older configuration", func() {
 		Expect(dispatcher.SetConfig(ibisroute.New(2, ibisroute.Limits{}, nil, nil))).To(BeFalse())
 		Expect(dispatcher.Config().Version()).To(BeEquivalentTo(3))
--- a/internal/relay/ibisdispatch/retry.go
+++ b/internal/relay/ibisdispatch/retry.go
@@ -92,7 +92,7 @@
 	if p.service.Sharded && order.Key != ibismessage.NoKey {
 		return d.chooseOwner(p, order, tried, ownerHint)
 	}
-	choice := d.choosers[p.service.Name].Choose(ibisbalancer.Request{
+	choice := d.chooser(p.service.Name).Choose(ibisbalancer.Request{
 		Class:   order.Class,
 		Homes:   p.route.Homes,
 		Exclude: tried,
@@ -104,7 +104,10 @@
 		}
 		return ibisroster.Member{}, ibismessage.NotRun(reason, d.jitter(max(choice.RetryAfter, ibisretrypolicy.DefaultRetryAfter)), nil), false
 	}
-	member, _ := d.roster.Member(choice.Node)
+	member, ok := d.roster.Member(choice.Node)
+	if !ok {
+		return member, ibismessage.NotRun(ibismessage.ReasonNoServer, d.jitter(ibisretrypolicy.DefaultRetryAfter), nil), false
+	}
 	return member, ibismessage.Answer{}, true
 }
 
