A panic in a request keeps no lock, slot or try

None is shown to have happened; with the guard around handlers the process lives on after a panic, so what it holds must be let go.

Also: a server that says another service under the same incarnation got the requests that waited for its former one; it gets a new gate, which refuses them as not run.

--- a/internal/relay/ibisadmission/admit.go
+++ b/internal/relay/ibisadmission/admit.go
@@ -18,18 +18,31 @@
 
 // admit waits until the gate admits the order to a slot or refuses it, or the caller leaves.
 func (g *Guard) admit(ctx context.Context, order ibismessage.Order) (ibisadmit.RequestID, ibisroster.ServerIncarnation, ibismessage.Answer, bool) {
+	id, incarnation, answer, refusal := g.arrive(order)
+	if answer == nil {
+		return 0, ibisroster.ServerIncarnation{}, refusal, false
+	}
+	select {
+	case d := <-answer:
+		return id, incarnation, refusalAnswer(d), d.admitted
+	case <-ctx.Done():
+		return 0, incarnation, g.cancel(id, answer, ctx.Err()), false
+	}
+}
+
+// arrive passes an order to the gate and returns the channel of its decision, or a refusal without one.
+func (g *Guard) arrive(order ibismessage.Order) (ibisadmit.RequestID, ibisroster.ServerIncarnation, chan decision, ibismessage.Answer) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	if refusal, ok := g.precheck(order); !ok {
 		g.stats.Refused++
-		g.mu.Unlock()
-		return 0, ibisroster.ServerIncarnation{}, refusal, false
+		return 0, ibisroster.ServerIncarnation{}, nil, refusal
 	}
 	now := g.clock.Now()
 	linkWait := g.link.estimateWait(order.Class)
 	if refusal, ok := g.checkLink(order, linkWait, now); !ok {
 		g.stats.Refused++
-		g.mu.Unlock()
-		return 0, ibisroster.ServerIncarnation{}, refusal, false
+		return 0, ibisroster.ServerIncarnation{}, nil, refusal
 	}
 	g.nextID++
 	id := g.nextID
@@ -43,13 +56,7 @@
 		Deadline: subtractWait(order.Deadline, linkWait),
 	}, now)
 	g.scheduleTick()
-	g.mu.Unlock()
-	select {
-	case d := <-answer:
-		return id, incarnation, refusalAnswer(d), d.admitted
-	case <-ctx.Done():
-		return 0, incarnation, g.cancel(id, answer, ctx.Err()), false
-	}
+	return id, incarnation, answer, ibismessage.Answer{}
 }
 
 // subtractWait returns a time that is earlier by the wait; a zero time stays zero.
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -145,11 +145,27 @@
 	if !ok {
 		return g.withLoad(refusal)
 	}
+	ended := false
+	defer func() {
+		if !ended {
+			// A panic must not keep the slot.
+			g.finish(ibisadmit.FinishEvent{
+				ID: id,
+			})
+		}
+	}()
+	answer := g.run(ctx, order, id, incarnation)
+	ended = true
+	return g.withLoad(answer)
+}
+
+// run sends an admitted order and returns its answer; the slot is free again, or the answer's body frees it.
+func (g *Guard) run(ctx context.Context, order ibismessage.Order, id ibisadmit.RequestID, incarnation ibisroster.ServerIncarnation) ibismessage.Answer {
 	if refusal, ok := g.checkKey(order); !ok {
 		g.finish(ibisadmit.FinishEvent{
 			ID: id,
 		})
-		return g.withLoad(refusal)
+		return refusal
 	}
 	began := g.clock.Now()
 	left := order.Deadline.Sub(began)
@@ -157,7 +173,7 @@
 		g.finish(ibisadmit.FinishEvent{
 			ID: id,
 		})
-		return g.withLoad(ibismessage.NotRun(ibismessage.ReasonDeadline, 0, nil))
+		return ibismessage.NotRun(ibismessage.ReasonDeadline, 0, nil)
 	}
 	answer := g.send(ctx, order, incarnation, left)
 	latency := g.clock.Now().Sub(began)
@@ -170,7 +186,7 @@
 			Latency: latency,
 			Failed:  answer.Arrived,
 		})
-		return g.withLoad(answer)
+		return answer
 	}
 	g.recordHeaders(id)
 	answer.Body = &slotBody{
@@ -184,7 +200,7 @@
 		}),
 	}
 	g.bufferAnswer(&answer)
-	return g.withLoad(answer)
+	return answer
 }
 
 // send runs an order and accounts for the bytes of its answer on the link.
@@ -193,13 +209,16 @@
 	expectedBytes := g.link.typicalLength(order.Class)
 	g.link.expectedBytes += expectedBytes
 	g.mu.Unlock()
-	answer := g.backend.Send(ctx, order, incarnation, left)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.link.expectedBytes -= expectedBytes
-	if answer.Outcome == ibisid.OutcomeDone {
-		g.link.recordLength(order.Class, answer.Length)
-	}
+	var answer ibismessage.Answer
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.link.expectedBytes -= expectedBytes
+		if answer.Outcome == ibisid.OutcomeDone {
+			g.link.recordLength(order.Class, answer.Length)
+		}
+	}()
+	answer = g.backend.Send(ctx, order, incarnation, left)
 	return answer
 }
 
--- a/internal/relay/ibisadmission/guard_test.go
+++ b/internal/relay/ibisadmission/guard_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -365,4 +366,118 @@
 		o.Service = "floor"
 		Expect(guard.Send(context.Background(), o).Reason).To(Equal(ibismessage.ReasonOtherServer))
 	})
+
+	It("frees the slot of a request whose handler panics", func() {
+		guard = ibisadmission.New(panickingBackend{}, keys, limits, clock, zap.NewNop())
+		guard.SetRules(rules)
+		guard.SetServer(state(ibisroster.StateServing), 0)
+		Expect(func() { guard.Send(context.Background(), order()) }).To(Panic())
+		Expect(guard.Stats().Running).To(BeZero())
+	})
+
+	It("serves others after a panic in its own decisions", func() {
+		faulty := &panickingClock{Fake: clock}
+		guard = ibisadmission.New(server, keys, limits, faulty, zap.NewNop())
+		guard.SetRules(rules)
+		guard.SetServer(state(ibisroster.StateServing), 0)
+		faulty.panics = true
+		o := order()
+		Expect(func() { guard.Send(context.Background(), o) }).To(Panic())
+		faulty.panics = false
+		answer := send(context.Background(), o)
+		Eventually(server.count).Should(Equal(1))
+		server.answers <- okAnswer()
+		Eventually(answer).Should(Receive(HaveField("Outcome", ibisid.OutcomeDone)))
+	})
+
+	It("does not send a request that waits to a server that changes its service", func() {
+		guard.SetRules(rules)
+		guard.SetServer(state(ibisroster.StateServing), 0)
+		for range 2 {
+			send(context.Background(), order())
+		}
+		Eventually(server.count).Should(Equal(2))
+		waiting := send(context.Background(), order())
+		Eventually(func() int { return guard.Stats().Waiting }).Should(Equal(1))
+		other := state(ibisroster.StateServing)
+		other.Service = "floor"
+		guard.SetServer(other, 0)
+		Eventually(waiting).Should(Receive(HaveField("Outcome", ibisid.OutcomeNotRun)))
+	})
+
+	It("answers every request and loses no slot while servers and rules change", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		guard.SetRules(rules)
+		guard.SetServer(state(ibisroster.StateServing), 0)
+		stopAnswers := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case server.answers <- okAnswer():
+				case <-stopAnswers:
+					return
+				}
+			}
+		}()
+		const requests = 400
+		answers := make([]chan ibismessage.Answer, 0, requests)
+		for n := range requests {
+			ctx, cancel := context.WithCancel(context.Background())
+			o := order()
+			o.Class = ibisid.ClassName([]string{"look", "print"}[random.IntN(2)])
+			answers = append(answers, send(ctx, o))
+			changed := state(ibisroster.StateServing)
+			changed.Incarnation.StartedAt = int64(1 + random.IntN(2))
+			changed.Slots = 1 + random.IntN(3)
+			switch random.IntN(8) {
+			case 0:
+				guard.SetServer(changed, 0)
+			case 1:
+				changed.State = ibisroster.StateDraining
+				guard.SetServer(changed, 0)
+			case 2:
+				changed.Service = "floor"
+				guard.SetServer(changed, 0)
+			case 3:
+				r := rules
+				r.DomainOut = random.IntN(4) == 0
+				r.ColdPerSecond = float64(random.IntN(2) * 1000)
+				if random.IntN(2) == 0 {
+					r.Policy.Classes = map[ibisid.ClassName]ibisadmit.ClassPolicy{"look": ibisadmission.ClassPolicy(1)}
+				}
+				guard.SetRules(r)
+			case 4:
+				cancel()
+			case 5:
+				clock.Advance(time.Duration(n%3) * ibisadmit.TickPeriod)
+			}
+			DeferCleanup(cancel)
+		}
+		guard.Stop()
+		for _, a := range answers {
+			Eventually(a, time.Minute).Should(Receive())
+		}
+		close(stopAnswers)
+		Eventually(func() ibisadmission.Stats { return guard.Stats() }, time.Minute).Should(And(HaveField("Running", 0), HaveField("Waiting", 0)))
+	})
 })
+
+// panickingBackend panics at each order.
+type panickingBackend struct{}
+
+func (panickingBackend) Send(context.Context, ibismessage.Order, ibisroster.ServerIncarnation, time.Duration) ibismessage.Answer {
+	panic("a fault")
+}
+
+// panickingClock panics when it is asked for the time.
+type panickingClock struct {
+	*ibistimer.Fake
+	panics bool
+}
+
+func (c *panickingClock) Now() time.Time {
+	if c.panics {
+		panic("a fault")
+	}
+	return c.Fake.Now()
+}
--- a/internal/relay/ibisadmission/rules.go
+++ b/internal/relay/ibisadmission/rules.go
@@ -24,14 +24,14 @@
 	ColdStart time.Duration
 }
 
-// SetServer applies the state that the backend server reports and the remaining time for which it is cold; a new incarnation
-// or a new number of slots replaces the gate.
+// SetServer applies the state that the backend server reports and the remaining time for which it is cold; a new incarnation,
+// number of slots or service replaces the gate.
 func (g *Guard) SetServer(server ibisroster.Server, coldFor time.Duration) {
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.coldUntil = now.Add(coldFor)
-	replaced := server.Incarnation != g.server.Incarnation || server.Slots != g.server.Slots
+	replaced := server.Incarnation != g.server.Incarnation || server.Slots != g.server.Slots || server.Service != g.server.Service
 	g.server = server
 	if g.rules == nil {
 		return
--- a/internal/relay/ibisdispatch/attempt.go
+++ b/internal/relay/ibisdispatch/attempt.go
@@ -18,12 +18,24 @@
 // a truncated one counts as no answer.
 func (d *Dispatcher) attempt(ctx context.Context, p plan, member ibisroster.Member, order ibismessage.Order) ibismessage.Answer {
 	chooser, id, began := d.recordSent(p, member.Node, order.Class)
+	returned := false
+	defer func() {
+		if !returned {
+			// A panic must not leave the try among the unanswered ones.
+			d.recordDone(chooser, ibisbalancer.AttemptEndEvent{
+				ID:     id,
+				Node:   member.Node,
+				Result: ibisbalancer.ResultFailed,
+			})
+		}
+	}()
 	answer := d.peers.Send(ctx, member, order)
 	answer.Node = member.Node
 	latency := d.clock.Now().Sub(began)
 	if answer.Outcome == ibisid.OutcomeDone {
 		answer = bufferShortAnswer(answer)
 	}
+	returned = true
 	event := ibisbalancer.AttemptEndEvent{
 		ID:         id,
 		Node:       member.Node,
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -338,6 +338,16 @@
 		}
 	})
 
+	It("does not count tries that panicked as unanswered for ever", func() {
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer { panic("a fault") }
+		for range 100 {
+			Expect(func() { serve("/look/1") }).To(Panic())
+			clock.Advance(time.Minute)
+		}
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer { return done(200, "whole") }
+		Expect(serve("/look/1").Outcome).To(Equal(ibisid.OutcomeDone))
+	})
+
 	It("rejects an older configuration", func() {
 		Expect(dispatcher.SetConfig(ibisroute.New(2, ibisroute.Limits{}, nil, nil))).To(BeFalse())
 		Expect(dispatcher.Config().Version()).To(BeEquivalentTo(3))
