--- a/internal/relay/ibisdispatch/attempt.go
+++ b/internal/relay/ibisdispatch/attempt.go
@@ -18,11 +18,24 @@
 // a truncated one counts as no answer.
 func (d *Dispatcher) attempt(ctx context.Context, p plan, member ibisroster.Member, order ibismessage.Order) ibismessage.Answer {
 	chooser, id, began := d.recordSent(p, member.Node, order.Class)
+	returned := false
+	defer func() {
+		if !returned {
+			// A panic must not leave the try among the unanswered ones.
+			d.recordDone(chooser, ibisbalancer.AttemptEndEvent{
+				ID:     id,
+				Node:   member.Node,
+				Result: ibisbalancer.ResultFailed,
+			})
+		}
+	}()
 	answer := d.peers.Send(ctx, member, order)
+	answer.Node = member.Node
 	latency := d.clock.Now().Sub(began)
 	if answer.Outcome == ibisid.OutcomeDone {
 		answer = bufferShortAnswer(answer)
 	}
+	returned = true
 	event := ibisbalancer.AttemptEndEvent{
 		ID:         id,
 		Node:       member.Node,
@@ -56,7 +69,7 @@
 	defer d.mu.Unlock()
 	d.nextID++
 	now := d.clock.Now()
-	chooser := d.choosers[p.service.Name]
+	chooser := d.chooser(p.service.Name)
 	chooser.Update(ibisbalancer.AttemptSentEvent{
 		ID:    d.nextID,
 		Node:  node,
@@ -94,6 +107,7 @@
 		_ = a.Body.Close()
 		broken := ibismessage.Unknown(ibismessage.ReasonConnectionFailed, fmt.Errorf("read the body of the answer: %w", err))
 		broken.Load = a.Load
+		broken.Node = a.Node
 		return broken
 	}
 	if len(body) < ibismessage.MaxBufferedAnswerBytes {
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -286,6 +286,68 @@
 		Expect(p.sent).To(BeEmpty())
 	})
 
+	It("serves routes of one name with splits of different lengths, and tells their callers apart", func() {
+		split := func(host string, patience time.Duration, services ...ibisid.ServiceName) ibisroute.Route {
+			r := ibisroute.Route{
+				Name: "same", Host: host, Prefix: "/", Kind: ibisroute.KindIdempotent, Target: patience, Timeout: patience, MaxAttempts: 1,
+			}
+			for _, service := range services {
+				r.Services = append(r.Services, ibisroute.WeightedService{Service: service, Weight: 1})
+			}
+			return r
+		}
+		Expect(dispatcher.SetConfig(ibisroute.New(4, ibisroute.Limits{}, []ibisroute.Service{{Name: "desk"}, {Name: "floor"}, {Name: "print"}}, []ibisroute.Route{
+			split("two.example", 5*time.Second, "desk", "floor"),
+			split("three.example", time.Second, "desk", "floor", "print"),
+		}))).To(BeTrue())
+		ask := func(host string, patience time.Duration) ibismessage.Answer {
+			return dispatcher.Serve(context.Background(), ibisdispatch.Request{
+				ID: "r1", Method: http.MethodGet, URI: "/1", Path: "/1", Host: host, CallerTimeout: patience, Arrived: clock.Now(),
+			})
+		}
+		for range 4 {
+			Expect(ask("two.example", 5*time.Second).Outcome).To(Equal(ibisid.OutcomeDone))
+		}
+		three := []ibismessage.Answer{ask("three.example", time.Second), ask("three.example", time.Second), ask("three.example", time.Second)}
+		Expect(three).To(ConsistOf(HaveField("Outcome", ibisid.OutcomeDone), HaveField("Outcome", ibisid.OutcomeDone), HaveField("Reason", ibismessage.ReasonNoServer)))
+		Expect(p.orders[len(p.orders)-1].Target).To(Equal(clock.Now().Add(time.Second)), "not counted as a later attempt of a caller of the other route")
+	})
+
+	It("sends a retry of a service that a new configuration drops to no node that has left or whose domain is out", func() {
+		for _, leave := range []func(){
+			func() { dispatcher.SetOutDomains(ibisset.Of[ibisid.DomainName]("kandy-a", "kandy-b", "colombo-a")) },
+			func() {
+				dispatcher.UpdateRoster(func(r *ibisroster.Roster) {
+					for _, node := range []ibisid.NodeName{"a", "b", "c"} {
+						r.Remove(node, 10)
+					}
+				})
+			},
+		} {
+			p.sent = nil
+			p.answer = func(int, ibisid.NodeName) ibismessage.Answer {
+				dispatcher.SetConfig(ibisroute.New(dispatcher.Config().Version()+1, ibisroute.Limits{}, nil, nil))
+				leave()
+				return ibismessage.NotRun(ibismessage.ReasonUnreachable, 0, nil)
+			}
+			route, _ := dispatcher.Config().Match("mats.example", "/look/1")
+			Expect(serve("/look/1").Outcome).To(Equal(ibisid.OutcomeNotRun))
+			Expect(p.sent).To(HaveLen(1))
+			dispatcher.SetOutDomains(nil)
+			dispatcher.SetConfig(ibisroute.New(dispatcher.Config().Version()+1, ibisroute.Limits{}, []ibisroute.Service{{Name: "desk"}}, []ibisroute.Route{*route}))
+		}
+	})
+
+	It("does not count tries that panicked as unanswered for ever", func() {
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer { panic("a fault") }
+		for range 100 {
+			Expect(func() { serve("/look/1") }).To(Panic())
+			clock.Advance(time.Minute)
+		}
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer { return done(200, "whole") }
+		Expect(serve("/look/1").Outcome).To(Equal(ibisid.OutcomeDone))
+	})
+
 	It("rejects an older configuration", func() {
 		Expect(dispatcher.SetConfig(ibisroute.New(2, ibisroute.Limits{}, nil, nil))).To(BeFalse())
 		Expect(dispatcher.Config().Version()).To(BeEquivalentTo(3))
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -198,6 +198,18 @@
 		Expect(answer.Reason).To(Equal(ibismessage.ReasonUnreachable))
 	})
 
+	It("takes an answer whose outcome it does not know as one of an order that may have run", func() {
+		for _, header := range []string{"", "{", "{}", `{"outcome":"later"}`, `{"outcome":"notRun","retryAfterMs":"1"}`} {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Ibis-Answer", header)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			answer := ibisforward.NewClient(clock).Send(context.Background(), strings.TrimPrefix(server.URL, "http://"), order())
+			Expect(answer.Outcome).To(Equal(ibisid.OutcomeUnknown), header)
+			server.Close()
+		}
+	})
+
 	It("rejects a request that is not an order of a node", func() {
 		_, address := newClient(func(context.Context, ibismessage.Order) ibismessage.Answer {
 			panic("a malformed order must not reach the target")
@@ -212,4 +224,37 @@
 			Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
 		}
 	})
+
+	It("tells an answer that can't be read from one that can't be written, with the bytes sent of how many", func() {
+		answer := answering(100_000)(context.Background(), order())
+		answer.Node = "n2"
+		cut := ibisforward.WriteAnswer(context.Background(), &failingWriter{ResponseRecorder: httptest.NewRecorder(), writes: 1}, answer)
+		Expect(cut).To(HaveField("Cause", ibismessage.CutCauseConnection))
+		Expect(cut).To(HaveField("SentBytes", BeNumerically("==", ibismessage.MaxBufferedAnswerBytes)))
+		Expect(cut).To(HaveField("Length", BeNumerically("==", 100_000)))
+		Expect(cut).To(HaveField("Node", ibisid.NodeName("n2")))
+
+		broken := ibismessage.Answer{
+			Outcome: ibisid.OutcomeDone, Status: http.StatusOK, Length: 9,
+			Body: brokenBody{Reader: strings.NewReader("half")},
+		}
+		cut = ibisforward.WriteAnswer(context.Background(), httptest.NewRecorder(), broken)
+		Expect(cut).To(HaveField("Cause", ibismessage.CutCauseSource))
+		Expect(cut).To(HaveField("SentBytes", BeNumerically("==", 4)))
+		Expect(cut).To(MatchError(io.ErrUnexpectedEOF))
+	})
 })
+
+// failingWriter fails after some writes.
+type failingWriter struct {
+	*httptest.ResponseRecorder
+	writes int
+}
+
+func (w *failingWriter) Write(p []byte) (int, error) {
+	if w.writes == 0 {
+		return 0, io.ErrClosedPipe
+	}
+	w.writes--
+	return w.ResponseRecorder.Write(p)
+}
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -48,6 +48,8 @@
 	ReasonFaultyRoute Reason = "faultyRoute"
 	// ReasonNoConfig means that no configuration is known yet.
 	ReasonNoConfig Reason = "noConfig"
+	// ReasonInternal means that the node failed by a fault of its own while it handled the request.
+	ReasonInternal Reason = "internal"
 	// ReasonBadRequest means that the request is malformed.
 	ReasonBadRequest Reason = "badRequest"
 )
@@ -73,6 +75,8 @@
 	Arrived bool
 	// Load is the number of running and waiting requests at the node's admission, divided by its limit; negative if unknown.
 	Load float64
+	// Node is the node that the answer came from, empty if no node was asked.
+	Node ibisid.NodeName
 	// Status is the backend server's HTTP status.
 	Status int
 	// Header holds the backend server's end-to-end headers.
