ibislink: a response head without end fails after 64 KiB

What was seen: http.ReadResponse read heads from a reader without a bound, so a status line or headers without end grew in memory until the node was killed (184 MB on the smallest), and interim responses without end were read until the deadline. Found by reading.

Cause: neither bufio.Reader nor net/textproto bounds what ReadResponse reads; only http.Transport does, which ibislink doesn't use.

Fix: while heads are read the connection's source reads 64 KiB an exchange at most: interim responses and the heads of responses to earlier requests count as well, bodies don't. Then the exchange fails with ErrLongHead and the connection is closed; the request has been written, so the error is never ErrNotSent. 64 KiB is the bound of the product's own client of backend servers; common HTTP clients accept less. A larger one (the 256 KiB of incoming heads) was ruled out: many short headers take several times their bytes in memory.

Evidence: the five new entries "fails on a head without end" failed on the old code with "Expected an error, got nil", since it read a head of a megabyte. Ruled out: chunk extensions and trailers, which net/http bounds already, also in responses that are discarded; the new entries for them passed on the old code and stay as guards.

--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -18,6 +18,9 @@
 	maxMismatched = 3
 	// maxMismatchedBytes is the largest body of a response to discard.
 	maxMismatchedBytes = 1 << 20
+	// maxHeadBytes bounds the heads that are read in one exchange: the response's, interim ones, and those of responses to
+	// earlier requests. It is far above what HTTP clients commonly accept.
+	maxHeadBytes = 64 << 10
 )
 
 // Exchange sends a request once and returns the response, whose body is still to be read. It fails with ErrNotSent if no
@@ -139,8 +142,10 @@
 
 // read returns the response with the id and discards those to earlier requests.
 func (x *exchange) read(out *http.Request, id string) (*http.Response, error) {
+	headBytesLeft := int64(maxHeadBytes)
 	for skipped := 0; skipped <= maxMismatched; {
-		response, err := http.ReadResponse(x.conn.reader, out)
+		response, headBytes, err := x.conn.readHead(out, headBytesLeft)
+		headBytesLeft -= headBytes
 		if err != nil {
 			return nil, fmt.Errorf("read response from %s: %w", x.pool.options.Address, err)
 		}
--- a/internal/relay/ibislink/pool_test.go
+++ b/internal/relay/ibislink/pool_test.go
@@ -152,6 +152,82 @@
 		Entry("chunks that end early", "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", false),
 	)
 
+	// The heads end after a megabyte, so that a pool without a bound accepts the response instead of reading for ever.
+	const longHead = 1 << 20
+
+	DescribeTable("fails on a head without end, closes the connection, and doesn't claim that the request was not sent",
+		func(head func(id string) string) {
+			p, _ := pool(func(c, _ int, id string) (string, bool) {
+				if c == 0 {
+					return head(id), false
+				}
+				return completeResponse(id, "ok"), false
+			})
+			_, err := p.Exchange(ctx, request("r1"))
+			Expect(err).To(MatchError(ibislink.ErrLongHead))
+			Expect(err).NotTo(MatchError(ibislink.ErrNotSent))
+			response, err := p.Exchange(ctx, request("r2"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read(response)).To(Equal("ok"))
+			Expect(p.Opened()).To(BeEquivalentTo(2))
+		},
+		Entry("in the status line", func(id string) string {
+			return "HTTP/1.1 200 " + strings.Repeat("O", longHead) + "\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok"
+		}),
+		Entry("in one header", func(id string) string {
+			return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nA: " + strings.Repeat("a", longHead) + "\r\nContent-Length: 2\r\n\r\nok"
+		}),
+		Entry("of many headers", func(id string) string {
+			return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + strings.Repeat("A: a\r\n", longHead/6) + "Content-Length: 2\r\n\r\nok"
+		}),
+		Entry("of interim responses", func(id string) string {
+			return strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", longHead/27) + completeResponse(id, "ok")
+		}),
+		Entry("of responses to earlier requests", func(id string) string {
+			older := "HTTP/1.1 200 OK\r\nId: older\r\nA: " + strings.Repeat("a", 30<<10) + "\r\nContent-Length: 0\r\n\r\n"
+			return strings.Repeat(older, 3) + completeResponse(id, "ok")
+		}),
+	)
+
+	It("accepts a long body after a long head and interim responses", func() {
+		body := strings.Repeat("mat ", longHead)
+		p, _ := pool(func(_, _ int, id string) (string, bool) {
+			return "HTTP/1.1 103 Early Hints\r\nLink: </mat>\r\n\r\n" +
+				fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nA: %s\r\nContent-Length: %d\r\n\r\n%s", id, strings.Repeat("a", 60<<10), len(body), body), false
+		})
+		for range 2 {
+			response, err := p.Exchange(ctx, request("r1"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read(response)).To(Equal(body))
+		}
+		Expect(p.Opened()).To(BeEquivalentTo(1))
+	})
+
+	DescribeTable("fails on a chunked body with bytes without end that are no data",
+		func(chunks string) {
+			p, _ := pool(func(_, _ int, id string) (string, bool) {
+				return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, false
+			})
+			response, err := p.Exchange(ctx, request("r1"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = read(response)
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("in one chunk extension", "1;"+strings.Repeat("e", longHead)+"\r\na\r\n0\r\n\r\n"),
+		Entry("in the extensions of many chunks", strings.Repeat("1;"+strings.Repeat("e", 1000)+"\r\na\r\n", longHead/1000)+"0\r\n\r\n"),
+		Entry("in the trailers", "1\r\na\r\n0\r\n"+strings.Repeat("A: a\r\n", longHead/6)+"\r\n"),
+		Entry("in one trailer", "1\r\na\r\n0\r\nA: "+strings.Repeat("a", longHead)+"\r\n\r\n"),
+	)
+
+	It("discards no response to an earlier request whose chunk extensions have no end", func() {
+		p, _ := pool(func(_, _ int, id string) (string, bool) {
+			return "HTTP/1.1 200 OK\r\nId: older\r\nTransfer-Encoding: chunked\r\n\r\n" +
+				strings.Repeat("1;"+strings.Repeat("e", 1000)+"\r\na\r\n", longHead/1000) + "0\r\n\r\n" + completeResponse(id, "ok"), false
+		})
+		_, err := p.Exchange(ctx, request("r1"))
+		Expect(err).To(MatchError(ibislink.ErrMismatchedResponse))
+	})
+
 	It("accepts a response that ends when the connection is closed", func() {
 		p, _ := pool(func(_, _ int, id string) (string, bool) {
 			return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nno length", true
--- a/internal/relay/ibislink/request.go
+++ b/internal/relay/ibislink/request.go
@@ -47,6 +47,9 @@
 // because they were too many, too long or closed the connection.
 var ErrMismatchedResponse = errors.New("response does not match the request")
 
+// ErrLongHead reports that the head of a response, with the heads read before it, did not end within maxHeadBytes.
+var ErrLongHead = errors.New("response head is too long")
+
 func (r Request) httpRequest() *http.Request {
 	out := &http.Request{
 		Method: r.Method,
