ibislink: a body that doesn't end is cut after the order's deadline

What callers saw: an answer without a length, or one that stopped in its body, held the caller's connection, the connection to the backend server and a slot of its gate for as long as the peer liked, since the timers of an exchange are stopped once its head is there. Found by reading; the caller's leaving was the only end.

Fix: an exchange knows until when its response is of value (the order's deadline). Before that nothing changes. From then on a read that waits for bytes fails after 5 s without one, and the whole body must end within a minute, plus a second for each KiB of its announced length.

Weighed: cutting at the deadline itself (would cut answers that are ready and late, and long ones that callers go on reading); counting the time without progress only (a byte every 4 s would go on for ever); a bound on bytes for an unknown length (says nothing of a trickle, and the bytes are not held in memory: 16 KiB buffers). The time between two reads doesn't count as lack of progress, so a slow caller is not cut while the length is known and it takes 1 KiB/s over the whole answer. 5 s outlast a lost connection, which is noticed within 3 s. A chunked answer that a caller still reads a minute after its own time is cut even if it would have ended: it can't be told from one that doesn't.

Evidence: without the new bound "is cut if it doesn't end" (4 entries) and "is cut if no byte arrives" fail ("Expected an error, got nil", and an unexpected EOF in place of ErrLateBody); without the callers' part "does not wait for the rest of an answer after the caller's time has passed" and "fails if its body stops after the caller's time has passed" fail after 15 s, when their servers end. Ruled out: a read deadline left on a reused connection (the reuse test fails if it isn't cleared).

--- a/internal/relay/ibisforward/client.go
+++ b/internal/relay/ibisforward/client.go
@@ -34,14 +34,16 @@
 func (c *Client) Send(ctx context.Context, address string, order ibismessage.Order) ibismessage.Answer {
 	now := c.clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(order.Deadline.Sub(now), func() { cancel(context.DeadlineExceeded) })
+	left := order.Deadline.Sub(now)
+	timer := time.AfterFunc(left, func() { cancel(context.DeadlineExceeded) })
 	response, err := c.pool(address).Exchange(ctx, ibislink.Request{
-		Method: order.Method,
-		URI:    order.URI,
-		Host:   order.Host,
-		Header: encodeOrder(order, now),
-		Body:   order.BodyReader(),
-		Length: order.Length,
+		Method:     order.Method,
+		URI:        order.URI,
+		Host:       order.Host,
+		Header:     encodeOrder(order, now),
+		Body:       order.BodyReader(),
+		Length:     order.Length,
+		ValueUntil: time.Now().Add(left),
 	})
 	timer.Stop()
 	if err != nil {
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -19,6 +19,7 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisforward"
+	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 )
 
@@ -147,6 +148,31 @@
 		}
 	})
 
+	It("does not wait for the rest of an answer after the caller's time has passed", func() {
+		client, address := newClient(func(ctx context.Context, _ ibismessage.Order) ibismessage.Answer {
+			reader, writer := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(writer, "mat")
+				select {
+				case <-ctx.Done():
+				case <-time.After(15 * time.Second):
+				}
+				_ = writer.Close()
+			}()
+			return ibismessage.Answer{
+				Outcome: ibisid.OutcomeDone,
+				Status:  http.StatusOK,
+				Length:  -1,
+				Body:    reader,
+			}
+		})
+		answer := client.Send(context.Background(), address, order())
+		Expect(answer.Outcome).To(Equal(ibisid.OutcomeDone))
+		body, err := io.ReadAll(answer.Body)
+		Expect(string(body)).To(Equal("mat"))
+		Expect(err).To(MatchError(ibislink.ErrLateBody))
+	})
+
 	It("sends a long answer at the rate of its rate limiter, and a short one without it", func() {
 		const long = 100_000
 		limiter := &recordingLimiter{}
--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -21,6 +23,11 @@
 	// maxHeadBytes bounds the heads that are read in one exchange: the response's, interim ones, and those of responses to
 	// earlier requests. It is far above what HTTP clients commonly accept.
 	maxHeadBytes = 64 << 10
+	// minBodyRate is the rate in bytes per second at which a body of known length may be read at the slowest after its value has
+	// ended, over its whole length.
+	minBodyRate = 1 << 10
+	// maxBodySeconds is the longest time in seconds that a body's length gives it, ten years.
+	maxBodySeconds = 10 * 365 * 24 * 60 * 60
 )
 
 // Exchange sends a request once and returns the response, whose body is still to be read. It fails with ErrNotSent if no
@@ -104,9 +111,11 @@
 		Header: response.Header,
 		Length: response.ContentLength,
 		Body: &body{
-			exchange: x,
-			source:   response.Body,
-			reusable: !response.Close && !x.sawMismatch,
+			exchange:   x,
+			source:     response.Body,
+			reusable:   !response.Close && !x.sawMismatch,
+			length:     response.ContentLength,
+			valueUntil: request.ValueUntil,
 		},
 	}, nil
 }
@@ -183,6 +192,7 @@
 func (x *exchange) end(reusable bool) {
 	x.endOnce.Do(func() {
 		stopped := x.stopCloseOnCancel()
+		reusable = reusable && x.conn.tcp.SetReadDeadline(time.Time{}) == nil
 		if reusable && stopped && x.wroteAll() && x.conn.reader.Buffered() == 0 {
 			x.pool.put(x.conn, x.keepAlive)
 			return
@@ -205,18 +215,56 @@
 	exchange *exchange
 	source   io.ReadCloser
 	reusable bool
+	// length is in bytes, -1 if unknown.
+	length     int64
+	valueUntil time.Time
+	// err is the error that ended the body; the connection may belong to another exchange since then.
+	err error
 }
 
-// Read reads the body; at the end of a complete body it returns the connection to the pool.
+// Read reads the body; at the end of a complete body it returns the connection to the pool. It fails with ErrLateBody if the
+// body makes no progress or does not end in time; the time between two reads doesn't count as lack of progress.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.source.Read(p)
+	if b.err != nil {
+		return 0, b.err
+	}
+	n := 0
+	err := b.limitRead(time.Now())
+	if err == nil {
+		n, err = b.source.Read(p)
+	}
 	if err == nil {
 		return n, nil
 	}
 	b.exchange.end(errors.Is(err, io.EOF) && b.reusable)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = fmt.Errorf("%w: %w", ErrLateBody, err)
+	}
+	b.err = err
 	return n, err
 }
 
+// limitRead sets the time by which the next read must return.
+func (b *body) limitRead(now time.Time) error {
+	if b.valueUntil.IsZero() || b.source == http.NoBody {
+		return nil
+	}
+	until := now
+	if until.Before(b.valueUntil) {
+		until = b.valueUntil
+	}
+	until = until.Add(b.exchange.pool.options.StallTimeout)
+	if end := b.valueUntil.Add(b.exchange.pool.options.EndTimeout + timeForLength(b.length)); end.Before(until) {
+		until = end
+	}
+	return b.exchange.conn.tcp.SetReadDeadline(until)
+}
+
+// timeForLength returns how long a body of the length takes at minBodyRate, zero for an unknown length.
+func timeForLength(length int64) time.Duration {
+	return time.Duration(min(max(0, length)/minBodyRate, maxBodySeconds)) * time.Second
+}
+
 // Close ends the exchange. If the body was not read to its end, the connection is closed.
 func (b *body) Close() error {
 	b.exchange.end(b.source == http.NoBody && b.reusable)
--- a/internal/relay/ibislink/pool.go
+++ b/internal/relay/ibislink/pool.go
@@ -1,6 +1,7 @@
 package ibislink
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -17,6 +18,10 @@
 	idleMargin = time.Second
 	// dialTimeout allows for three round trips between regions and one lost packet.
 	dialTimeout = 1200 * time.Millisecond
+	// defaultStallTimeout outlasts a lost connection to the peer, which is noticed within 3 s.
+	defaultStallTimeout = 5 * time.Second
+	// defaultEndTimeout serves a caller that goes on reading although the response has lost its value.
+	defaultEndTimeout = time.Minute
 )
 
 // Options configures a Pool.
@@ -29,6 +34,11 @@
 	MaxOpen int
 	// MayDial, if set, is called before a connection is opened; no connection is opened if it fails.
 	MayDial func() error
+	// StallTimeout is how long after Request.ValueUntil a read of a body waits for a byte, 5 s if zero.
+	StallTimeout time.Duration
+	// EndTimeout is how long after Request.ValueUntil a body may last, a minute if zero; a body of known length may last longer
+	// by a second for each KiB.
+	EndTimeout time.Duration
 }
 
 // Pool holds connections to one address; it is safe for concurrent use.
@@ -44,6 +54,8 @@
 
 // New returns an empty pool.
 func New(options Options) *Pool {
+	options.StallTimeout = cmp.Or(options.StallTimeout, defaultStallTimeout)
+	options.EndTimeout = cmp.Or(options.EndTimeout, defaultEndTimeout)
 	return &Pool{
 		options: options,
 	}
--- a/internal/relay/ibislink/pool_test.go
+++ b/internal/relay/ibislink/pool_test.go
@@ -340,3 +340,122 @@
 		Expect(read(response)).To(Equal("too much"))
 	})
 })
+
+var _ = Describe("The body of a response that has lost its value", func() {
+	const stall, end = 300 * time.Millisecond, 500 * time.Millisecond
+	ctx := context.Background()
+
+	// exchange sends a request to a server that handles its connections by a function, and returns the response.
+	exchange := func(handle func(conn net.Conn), valueUntil time.Time, stall, end time.Duration) (*ibislink.Pool, *ibislink.Response) {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer func() { _ = conn.Close() }()
+					reader := bufio.NewReader(conn)
+					for {
+						if _, err := http.ReadRequest(reader); err != nil {
+							return
+						}
+						handle(conn)
+					}
+				}()
+			}
+		}()
+		p := ibislink.New(ibislink.Options{Address: listener.Addr().String(), StallTimeout: stall, EndTimeout: end})
+		DeferCleanup(p.Close)
+		r := request("")
+		r.ValueUntil = valueUntil
+		response, err := p.Exchange(ctx, r)
+		Expect(err).NotTo(HaveOccurred())
+		return p, response
+	}
+	// repeat writes a text every 5 ms for 5 s, or until the connection is closed, and then closes it.
+	repeat := func(conn net.Conn, text string) {
+		for range 1000 {
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		_ = conn.Close()
+	}
+
+	DescribeTable("is cut if it doesn't end",
+		func(head, text string) {
+			closed := make(chan struct{})
+			_, response := exchange(func(conn net.Conn) {
+				_, _ = io.WriteString(conn, head)
+				repeat(conn, text)
+				close(closed)
+			}, time.Now(), stall, end)
+			_, err := read(response)
+			Expect(err).To(MatchError(ibislink.ErrLateBody))
+			Eventually(closed).Should(BeClosed())
+		},
+		Entry("few bytes without a length", "HTTP/1.1 200 OK\r\n\r\n", "a"),
+		Entry("many bytes without a length", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("a", 64<<10)),
+		Entry("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+		Entry("few bytes of a length", "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n", "a"),
+	)
+
+	It("is cut if no byte arrives, also if its length is known", func() {
+		release := make(chan struct{})
+		DeferCleanup(func() { close(release) })
+		_, response := exchange(func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\nmat")
+			select {
+			case <-release:
+			case <-time.After(5 * time.Second):
+			}
+			_ = conn.Close()
+		}, time.Now(), stall, time.Hour)
+		_, err := read(response)
+		Expect(err).To(MatchError(ibislink.ErrLateBody))
+	})
+
+	It("is returned whole if it ends, and its connection is reused", func() {
+		head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		p, response := exchange(func(conn net.Conn) { _, _ = io.WriteString(conn, head+"3\r\nmat\r\n0\r\n\r\n") }, time.Now(), 2*time.Second, 2*time.Second)
+		Expect(read(response)).To(Equal("mat"))
+		_, err := response.Body.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+		time.Sleep(2200 * time.Millisecond)
+		response, err = p.Exchange(ctx, request(""))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(response)).To(Equal("mat"))
+		Expect(p.Opened()).To(BeEquivalentTo(1))
+	})
+
+	It("is returned whole to a slow reader if its length is known", func() {
+		const length = 64 << 10
+		written := make(chan struct{}, 1)
+		_, response := exchange(func(conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("a", length))
+			written <- struct{}{}
+		}, time.Now(), time.Second, time.Second)
+		Eventually(written).Should(Receive())
+		for n := 0; n < length; {
+			time.Sleep(1500 * time.Millisecond)
+			read, err := io.ReadFull(response.Body, make([]byte, length/2))
+			Expect(err).NotTo(HaveOccurred())
+			n += read
+		}
+		Expect(response.Body.Read(make([]byte, 1))).Error().To(MatchError(io.EOF))
+	})
+
+	It("may pause while it has its value", func() {
+		_, response := exchange(func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nmat\r\n")
+			time.Sleep(2 * (stall + end))
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		}, time.Now().Add(time.Hour), stall, end)
+		Expect(read(response)).To(Equal("mat"))
+	})
+})
--- a/internal/relay/ibislink/request.go
+++ b/internal/relay/ibislink/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 )
 
 // Request is the request of an exchange.
@@ -26,6 +27,9 @@
 	Begin func(r *Request) error
 	// ID is the id that the response must repeat in the header Options.IDHeader; empty if responses carry none.
 	ID string
+	// ValueUntil is until when the response is of value; from then on its body must make progress and end in time. The zero time
+	// sets no bounds.
+	ValueUntil time.Time
 }
 
 // Response is the response of an exchange; its body must be closed.
@@ -50,6 +54,9 @@
 // ErrLongHead reports that the head of a response, with the heads read before it, did not end within maxHeadBytes.
 var ErrLongHead = errors.New("response head is too long")
 
+// ErrLateBody reports that after Request.ValueUntil no byte of a body arrived for too long, or the body did not end in time.
+var ErrLateBody = errors.New("response body did not end in time")
+
 func (r Request) httpRequest() *http.Request {
 	out := &http.Request{
 		Method: r.Method,
