ibisdispatch: a body of unknown length is held to the configuration's limit

What was seen: maxBodyBytes bound only bodies whose length was announced. A chunked one was passed on without end: of up to 64 KiB it was read whole and sent even where the limit is lower, a longer one streamed to the backend server however long it grew. Found by reading.

Fix: one that is read whole is refused before it is sent, as not run. A longer one is counted while it is sent: beyond the limit its read fails, so that the chunks stay unterminated, and the order is cancelled unless it has its answer.

Ruled out: reading the whole body first (memory), and 502 (the caller must learn what to change).

Evidence: on the old code "refuses one that is longer than allowed while it is sent" and "refuses one that is longer than a short limit before it is sent" fail, Expected <Reason>: "" to equal <Reason>: tooLong; "sends all that is allowed" passes before and after.

--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -273,7 +273,11 @@
 	if !ok {
 		return refusal
 	}
-	body, rest, err := readBody(request, p.config.Limits().BodyBytes)
+	limit := p.config.Limits().BodyBytes
+	body, rest, err := readBody(request, limit)
+	if err == nil && limit > 0 && int64(len(body)) > limit {
+		err = errTooLong
+	}
 	if err != nil {
 		reason := ibismessage.ReasonBadRequest
 		if errors.Is(err, errTooLong) {
@@ -281,7 +285,7 @@
 		}
 		return ibismessage.NotRun(reason, 0, err)
 	}
-	answer, tries := d.sendWithRetries(ctx, p, p.order(request, body, rest))
+	answer, tries := d.sendWithLimit(ctx, p, p.order(request, body, rest), limit)
 	d.meter.RecordRequest(p.route.Name, answer, d.clock.Now().Sub(request.Arrived))
 	d.logRequest(request, p, answer, tries)
 	return answer
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -291,6 +291,64 @@
 		Expect(dispatcher.Config().Version()).To(BeEquivalentTo(3))
 	})
 
+	Describe("with a body of unknown length", func() {
+		const limit = 1 << 20
+		var received int64
+
+		send := func(length int) ibismessage.Answer {
+			return dispatcher.Serve(context.Background(), ibisdispatch.Request{
+				ID:            "r1",
+				Method:        http.MethodPost,
+				URI:           "/order/1",
+				Path:          "/order/1",
+				Host:          "mats.example",
+				CallerTimeout: 5 * time.Second,
+				Arrived:       clock.Now(),
+				Length:        -1,
+				Body:          bytes.NewReader(make([]byte, length)),
+			})
+		}
+
+		BeforeEach(func() {
+			p.answer = func(n int, _ ibisid.NodeName) ibismessage.Answer {
+				var err error
+				if received, err = io.Copy(io.Discard, p.orders[n].BodyReader()); err != nil {
+					return ibismessage.Unknown(ibismessage.ReasonConnectionFailed, err)
+				}
+				return done(200, "whole")
+			}
+		})
+
+		It("sends all that is allowed", func() {
+			Expect(send(limit).Outcome).To(Equal(ibisid.OutcomeDone))
+			Expect(received).To(BeEquivalentTo(limit))
+		})
+
+		It("refuses one that is longer than allowed while it is sent, and doesn't claim that it was not run", func() {
+			answer := send(limit + 1)
+			Expect(answer.Reason).To(Equal(ibismessage.ReasonTooLong))
+			Expect(answer.Outcome).To(Equal(ibisid.OutcomeUnknown))
+			Expect(received).To(BeNumerically("<=", limit))
+			Expect(p.sent).To(HaveLen(1))
+		})
+
+		It("refuses one that is longer than a short limit before it is sent", func() {
+			Expect(dispatcher.SetConfig(ibisroute.New(4, ibisroute.Limits{BodyBytes: 10}, []ibisroute.Service{{Name: "desk"}}, []ibisroute.Route{{
+				Name:        "order",
+				Host:        "mats.example",
+				Prefix:      "/order/",
+				Kind:        ibisroute.KindNonIdempotent,
+				Timeout:     time.Second,
+				MaxAttempts: 1,
+				Services:    []ibisroute.WeightedService{{Service: "desk", Weight: 1}},
+			}}))).To(BeTrue())
+			answer := send(11)
+			Expect(answer.Reason).To(Equal(ibismessage.ReasonTooLong))
+			Expect(answer.Outcome).To(Equal(ibisid.OutcomeNotRun))
+			Expect(p.sent).To(BeEmpty())
+		})
+	})
+
 	It("refuses a body that is longer than allowed before reading it", func() {
 		answer := dispatcher.Serve(context.Background(), ibisdispatch.Request{
 			ID: "r1", Method: http.MethodPost, URI: "/order/1", Path: "/order/1", Host: "mats.example",
