ibisdispatch: a long answer goes out after its first bytes have arrived

What callers saw: an answer of more than 16 KiB whose body never began, or was cut before its first byte, closed their connection without any answer, although nothing had been sent to them: the head was written first and the failure could only abort it.

Fix: the first bytes of a long answer are read before its head goes out, one read of up to 16 KiB. If it fails, the caller gets 502, and a repeatable request may be tried again, as for short answers. Ruled out: reading 16 KiB in full, which would hold back what has arrived.

Evidence: on the old code "refuses a long answer that ended before its first byte" fails, Expected <Outcome>: done to equal unknown.

--- a/internal/relay/ibisdispatch/attempt.go
+++ b/internal/relay/ibisdispatch/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -21,7 +22,7 @@
 	answer := d.peers.Send(ctx, member, order)
 	latency := d.clock.Now().Sub(began)
 	if answer.Outcome == ibisid.OutcomeDone {
-		answer = bufferShortAnswer(answer)
+		answer = bufferAnswerStart(answer)
 	}
 	event := ibisbalancer.AttemptEndEvent{
 		ID:         id,
@@ -84,17 +85,15 @@
 	return ibisbalancer.ResultDone
 }
 
-// bufferShortAnswer reads a short answer to its end before its first byte goes out, so that a truncated answer can be retried.
-func bufferShortAnswer(a ibismessage.Answer) ibismessage.Answer {
+// bufferAnswerStart reads a short answer to its end, and the first bytes of a long one, before its first byte goes out, so that
+// an answer that fails by then can be retried or replaced by a refusal.
+func bufferAnswerStart(a ibismessage.Answer) ibismessage.Answer {
 	if a.Length > ibismessage.MaxBufferedAnswerBytes {
-		return a
+		return awaitFirstBytes(a)
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, ibismessage.MaxBufferedAnswerBytes))
 	if err != nil {
-		_ = a.Body.Close()
-		broken := ibismessage.Unknown(ibismessage.ReasonConnectionFailed, fmt.Errorf("read the body of the answer: %w", err))
-		broken.Load = a.Load
-		return broken
+		return brokenAnswer(a, err)
 	}
 	if len(body) < ibismessage.MaxBufferedAnswerBytes {
 		_ = a.Body.Close()
@@ -104,13 +103,37 @@
 		a.Body = io.NopCloser(bytes.NewReader(body))
 		return a
 	}
-	a.Body = joinedBody{
-		Reader: io.MultiReader(bytes.NewReader(body), a.Body),
-		Closer: a.Body,
+	a.Body = joinBody(body, a.Body)
+	return a
+}
+
+// awaitFirstBytes reads the first bytes of a long answer.
+func awaitFirstBytes(a ibismessage.Answer) ibismessage.Answer {
+	first := make([]byte, ibismessage.MaxBufferedAnswerBytes)
+	n, err := io.ReadAtLeast(a.Body, first, 1)
+	// The answer to a HEAD request has a length and no body.
+	if err != nil && !errors.Is(err, io.EOF) {
+		return brokenAnswer(a, err)
 	}
+	a.Body = joinBody(first[:n], a.Body)
 	return a
 }
 
+// brokenAnswer closes an answer whose body failed before its first byte went out.
+func brokenAnswer(a ibismessage.Answer, err error) ibismessage.Answer {
+	_ = a.Body.Close()
+	broken := ibismessage.Unknown(ibismessage.ReasonConnectionFailed, fmt.Errorf("read the body of the answer: %w", err))
+	broken.Load = a.Load
+	return broken
+}
+
+func joinBody(start []byte, rest io.ReadCloser) io.ReadCloser {
+	return joinedBody{
+		Reader: io.MultiReader(bytes.NewReader(start), rest),
+		Closer: rest,
+	}
+}
+
 // joinedBody returns the bytes that were read already and then the rest.
 type joinedBody struct {
 	io.Reader
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -175,6 +175,21 @@
 		Expect(p.sent).To(HaveLen(2))
 	})
 
+	It("refuses a long answer that ended before its first byte, and returns the rest of one that has begun", func() {
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer {
+			a := done(200, "")
+			a.Length = 1 << 20
+			a.Body = brokenBody{Reader: bytes.NewReader(nil)}
+			return a
+		}
+		Expect(serve("/order/1").Outcome).To(Equal(ibisid.OutcomeUnknown))
+		long := bytes.Repeat([]byte("mat "), 1<<18)
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer { return done(200, string(long)) }
+		answer := serve("/order/1")
+		Expect(answer.Outcome).To(Equal(ibisid.OutcomeDone))
+		Expect(io.ReadAll(answer.Body)).To(Equal(long))
+	})
+
 	It("does not report a request as not run if its first try may have run", func() {
 		p.answer = func(n int, _ ibisid.NodeName) ibismessage.Answer {
 			if n == 0 {
