--- a/internal/relay/ibisneighbor/neighbor_test.go
+++ b/internal/relay/ibisneighbor/neighbor_test.go
@@ -1,7 +1,9 @@
 package ibisneighbor_test
 
 import (
+	"compress/gzip"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -138,6 +140,31 @@
 		}),
 	)
 
+	DescribeTable("read from the store when the neighbor sends bytes without end",
+		func(answer http.HandlerFunc) {
+			server := httptest.NewServer(answer)
+			DeferCleanup(server.Close)
+			second := newNode()
+			second.neighbor = strings.TrimPrefix(server.URL, "http://")
+			changes, err := second.feed(10)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(changes.Version).To(BeEquivalentTo(100))
+		},
+		Entry("in the head", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Long", strings.Repeat("a", 1<<20))
+			_, _ = io.WriteString(w, `{"version":11}`)
+		}),
+		Entry("in the body", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"version":`+strings.Repeat(" ", 32<<20)+`11}`)
+		}),
+		Entry("in the compressed body", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Encoding", "gzip")
+			compressed := gzip.NewWriter(w)
+			_, _ = io.WriteString(compressed, `{"version":`+strings.Repeat(" ", 32<<20)+`11}`)
+			_ = compressed.Close()
+		}),
+	)
+
 	It("read from the store when the neighbor is unreachable", func() {
 		second := newNode()
 		second.neighbor = "127.0.0.1:1"
--- a/internal/relay/ibisneighbor/store.go
+++ b/internal/relay/ibisneighbor/store.go
@@ -27,8 +27,11 @@
 	dialTimeout = 500 * time.Millisecond
 	// avoidTime is how long a neighbor isn't asked after it failed to answer: a node that was killed has restarted by then.
 	avoidTime = 5 * time.Second
-	// maxAnswerBytes bounds an answer, which may hold all members and pages of a large deployment.
-	maxAnswerBytes = 64 << 20
+	// maxAnswerBytes bounds an answer, decompressed, which may hold all members and pages of a large deployment. While it is
+	// decoded, it takes more than twice its size in memory.
+	maxAnswerBytes = 24 << 20
+	// maxAnswerHeadBytes bounds the size of an answer's head.
+	maxAnswerHeadBytes = 64 << 10
 )
 
 // Store is the platform's store, except that it asks a neighbor first for the changes of one table.
@@ -65,9 +68,10 @@
 func newClient(timeout, idle time.Duration) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         ibislink.Dialer(dialTimeout).DialContext,
-			MaxIdleConnsPerHost: 1,
-			IdleConnTimeout:     idle,
+			DialContext:            ibislink.Dialer(dialTimeout).DialContext,
+			MaxIdleConnsPerHost:    1,
+			IdleConnTimeout:        idle,
+			MaxResponseHeaderBytes: maxAnswerHeadBytes,
 		},
 		Timeout: timeout,
 	}
