ibismember: the answer to a handshake is bounded

What was seen: the answer of a peer to the opening of a control connection was read into memory without a bound for the second that a dial may take. Found by reading.

Fix: at most 4 KiB are read. Evidence: on the old code "opens no connection to a peer whose answer to the handshake has no end" fails: the connection counts as open after a head of a megabyte, and the call ends with its context's deadline. Ruled out in the product's own runtime: ibisbackend's transports bound heads to 64 KiB, its load reports and announcements their bodies, and a body without a byte is cut after 30 s.

--- a/internal/peer/ibismember/pool.go
+++ b/internal/peer/ibismember/pool.go
@@ -22,6 +22,8 @@
 	dialTimeout = 1 * time.Second
 	// connectedStatus is the status line that accepts a connection for control calls.
 	connectedStatus = "200 Connected to Go RPC"
+	// maxHandshakeBytes bounds the size of a peer's answer to the handshake.
+	maxHandshakeBytes = 4 << 10
 )
 
 // ErrUnreachable reports that a peer did not answer; the call may still have run there.
@@ -199,7 +201,7 @@
 	if _, err := io.WriteString(conn, "CONNECT "+rpcPath+" HTTP/1.0\r\n\r\n"); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxHandshakeBytes)), &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return err
 	}
--- a/internal/peer/ibismember/pool_test.go
+++ b/internal/peer/ibismember/pool_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,6 +109,26 @@
 		Expect(server.BytesReceived()-before).To(BeNumerically(">", len("hello")+60), "a new connection describes its types again")
 	})
 
+	It("opens no connection to a peer whose answer to the handshake has no end", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, "HTTP/1.0 200 Connected to Go RPC\r\nA: "+strings.Repeat("a", 1<<20)+"\r\n\r\n")
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		word := "hello"
+		err = pool.Call(ctx, listener.Addr().String(), "Echo.Say", &word, &word)
+		Expect(err).To(MatchError(ContainSubstring("open control connection")))
+	})
+
 	It("passes other requests to the forward handler", func() {
 		response, err := http.Get(web.URL)
 		Expect(err).NotTo(HaveOccurred())
