ibisapp, ibissoak: backend servers whose answers have no end

The stand-in of the backend server plays two more faults, a head and a body without end (4 KiB every 5 ms until the connection is closed), and the soak draws them like its other faults.

--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/standin/ibisapp"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisrowstore"
 )
 
@@ -50,7 +51,7 @@
 func (s *soak) inject(ctx context.Context) {
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	span := s.span()
-	switch s.random.IntN(13) {
+	switch s.random.IntN(14) {
 	case 0:
 		m := mode(1 + s.random.IntN(int(modes)-1))
 		s.note(n, span, "%s: link to the store in mode %d for %s", n.name, m, span)
@@ -103,6 +104,13 @@
 		first := 1 + s.random.IntN(99)
 		s.note(nil, 0, "configuration changes")
 		s.configure(first, 100-first)
+	case 13:
+		fault := ibisapp.FaultEndlessHead
+		if s.random.IntN(2) == 0 {
+			fault = ibisapp.FaultEndlessBody
+		}
+		s.note(n, span, "%s: backend server sends answers without end for %s, in the body: %t", n.name, span, fault == ibisapp.FaultEndlessBody)
+		s.during(ctx, span, func() { n.current().SetFault(fault) }, func() { n.current().SetFault(ibisapp.FaultNone) })
 	}
 }
 
@@ -170,6 +178,7 @@
 		n.store.set(modePass)
 		n.peers.set(modePass)
 		n.signal(syscall.SIGCONT)
+		n.current().SetFault(ibisapp.FaultNone)
 		s.reborn(n, false)
 	}
 }
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -52,6 +52,8 @@
 
 	// up is read by the ledger, which may be called with mu held.
 	up atomic.Bool
+	// fault is a Fault.
+	fault atomic.Int32
 
 	mu      sync.Mutex
 	leaving bool
@@ -237,6 +239,10 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
+	if fault := Fault(s.fault.Load()); fault != FaultNone {
+		s.sendWithoutEnd(w, id, fault)
+		return
+	}
 	w.Header().Set("Server-Seal", Seal(s.config.ID, id, s.config.Body))
 	w.Header().Set("Received", strconv.Itoa(received))
 	w.Header().Set("Content-Length", strconv.Itoa(s.config.Body))
