--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -175,6 +175,21 @@
 		Expect(p.sent).To(HaveLen(2))
 	})
 
+	It("refuses a long answer that ended before its first byte, and returns the rest of one that has begun", func() {
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer {
+			a := done(200, "")
+			a.Length = 1 << 20
+			a.Body = brokenBody{Reader: bytes.NewReader(nil)}
+			return a
+		}
+		Expect(serve("/order/1").Outcome).To(Equal(ibisid.OutcomeUnknown))
+		long := bytes.Repeat([]byte("mat "), 1<<18)
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer { return done(200, string(long)) }
+		answer := serve("/order/1")
+		Expect(answer.Outcome).To(Equal(ibisid.OutcomeDone))
+		Expect(io.ReadAll(answer.Body)).To(Equal(long))
+	})
+
 	It("does not report a request as not run if its first try may have run", func() {
 		p.answer = func(n int, _ ibisid.NodeName) ibismessage.Answer {
 			if n == 0 {
@@ -353,6 +368,64 @@
 		Expect(dispatcher.Config().Version()).To(BeEquivalentTo(3))
 	})
 
+	Describe("with a body of unknown length", func() {
+		const limit = 1 << 20
+		var received int64
+
+		send := func(length int) ibismessage.Answer {
+			return dispatcher.Serve(context.Background(), ibisdispatch.Request{
+				ID:            "r1",
+				Method:        http.MethodPost,
+				URI:           "/order/1",
+				Path:          "/order/1",
+				Host:          "mats.example",
+				CallerTimeout: 5 * time.Second,
+				Arrived:       clock.Now(),
+				Length:        -1,
+				Body:          bytes.NewReader(make([]byte, length)),
+			})
+		}
+
+		BeforeEach(func() {
+			p.answer = func(n int, _ ibisid.NodeName) ibismessage.Answer {
+				var err error
+				if received, err = io.Copy(io.Discard, p.orders[n].BodyReader()); err != nil {
+					return ibismessage.Unknown(ibismessage.ReasonConnectionFailed, err)
+				}
+				return done(200, "whole")
+			}
+		})
+
+		It("sends all that is allowed", func() {
+			Expect(send(limit).Outcome).To(Equal(ibisid.OutcomeDone))
+			Expect(received).To(BeEquivalentTo(limit))
+		})
+
+		It("refuses one that is longer than allowed while it is sent, and doesn't claim that it was not run", func() {
+			answer := send(limit + 1)
+			Expect(answer.Reason).To(Equal(ibismessage.ReasonTooLong))
+			Expect(answer.Outcome).To(Equal(ibisid.OutcomeUnknown))
+			Expect(received).To(BeNumerically("<=", limit))
+			Expect(p.sent).To(HaveLen(1))
+		})
+
+		It("refuses one that is longer than a short limit before it is sent", func() {
+			Expect(dispatcher.SetConfig(ibisroute.New(4, ibisroute.Limits{BodyBytes: 10}, []ibisroute.Service{{Name: "desk"}}, []ibisroute.Route{{
+				Name:        "order",
+				Host:        "mats.example",
+				Prefix:      "/order/",
+				Kind:        ibisroute.KindNonIdempotent,
+				Timeout:     time.Second,
+				MaxAttempts: 1,
+				Services:    []ibisroute.WeightedService{{Service: "desk", Weight: 1}},
+			}}))).To(BeTrue())
+			answer := send(11)
+			Expect(answer.Reason).To(Equal(ibismessage.ReasonTooLong))
+			Expect(answer.Outcome).To(Equal(ibisid.OutcomeNotRun))
+			Expect(p.sent).To(BeEmpty())
+		})
+	})
+
 	It("refuses a body that is longer than allowed before reading it", func() {
 		answer := dispatcher.Serve(context.Background(), ibisdispatch.Request{
 			ID: "r1", Method: http.MethodPost, URI: "/order/1", Path: "/order/1", Host: "mats.example",
--- a/internal/relay/ibislink/pool_test.go
+++ b/internal/relay/ibislink/pool_test.go
@@ -152,6 +152,82 @@
 		Entry("chunks that end early", "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", false),
 	)
 
+	// The heads end after a megabyte, so that a pool without a bound accepts the response instead of reading for ever.
+	const longHead = 1 << 20
+
+	DescribeTable("fails on a head without end, closes the connection, and doesn't claim that the request was not sent",
+		func(head func(id string) string) {
+			p, _ := pool(func(c, _ int, id string) (string, bool) {
+				if c == 0 {
+					return head(id), false
+				}
+				return completeResponse(id, "ok"), false
+			})
+			_, err := p.Exchange(ctx, request("r1"))
+			Expect(err).To(MatchError(ibislink.ErrLongHead))
+			Expect(err).NotTo(MatchError(ibislink.ErrNotSent))
+			response, err := p.Exchange(ctx, request("r2"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read(response)).To(Equal("ok"))
+			Expect(p.Opened()).To(BeEquivalentTo(2))
+		},
+		Entry("in the status line", func(id string) string {
+			return "HTTP/1.1 200 " + strings.Repeat("O", longHead) + "\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok"
+		}),
+		Entry("in one header", func(id string) string {
+			return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nA: " + strings.Repeat("a", longHead) + "\r\nContent-Length: 2\r\n\r\nok"
+		}),
+		Entry("of many headers", func(id string) string {
+			return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + strings.Repeat("A: a\r\n", longHead/6) + "Content-Length: 2\r\n\r\nok"
+		}),
+		Entry("of interim responses", func(id string) string {
+			return strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", longHead/27) + completeResponse(id, "ok")
+		}),
+		Entry("of responses to earlier requests", func(id string) string {
+			older := "HTTP/1.1 200 OK\r\nId: older\r\nA: " + strings.Repeat("a", 30<<10) + "\r\nContent-Length: 0\r\n\r\n"
+			return strings.Repeat(older, 3) + completeResponse(id, "ok")
+		}),
+	)
+
+	It("accepts a long body after a long head and interim responses", func() {
+		body := strings.Repeat("mat ", longHead)
+		p, _ := pool(func(_, _ int, id string) (string, bool) {
+			return "HTTP/1.1 103 Early Hints\r\nLink: </mat>\r\n\r\n" +
+				fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nA: %s\r\nContent-Length: %d\r\n\r\n%s", id, strings.Repeat("a", 60<<10), len(body), body), false
+		})
+		for range 2 {
+			response, err := p.Exchange(ctx, request("r1"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read(response)).To(Equal(body))
+		}
+		Expect(p.Opened()).To(BeEquivalentTo(1))
+	})
+
+	DescribeTable("fails on a chunked body with bytes without end that are no data",
+		func(chunks string) {
+			p, _ := pool(func(_, _ int, id string) (string, bool) {
+				return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, false
+			})
+			response, err := p.Exchange(ctx, request("r1"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = read(response)
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("in one chunk extension", "1;"+strings.Repeat("e", longHead)+"\r\na\r\n0\r\n\r\n"),
+		Entry("in the extensions of many chunks", strings.Repeat("1;"+strings.Repeat("e", 1000)+"\r\na\r\n", longHead/1000)+"0\r\n\r\n"),
+		Entry("in the trailers", "1\r\na\r\n0\r\n"+strings.Repeat("A: a\r\n", longHead/6)+"\r\n"),
+		Entry("in one trailer", "1\r\na\r\n0\r\nA: "+strings.Repeat("a", longHead)+"\r\n\r\n"),
+	)
+
+	It("discards no response to an earlier request whose chunk extensions have no end", func() {
+		p, _ := pool(func(_, _ int, id string) (string, bool) {
+			return "HTTP/1.1 200 OK\r\nId: older\r\nTransfer-Encoding: chunked\r\n\r\n" +
+				strings.Repeat("1;"+strings.Repeat("e", 1000)+"\r\na\r\n", longHead/1000) + "0\r\n\r\n" + completeResponse(id, "ok"), false
+		})
+		_, err := p.Exchange(ctx, request("r1"))
+		Expect(err).To(MatchError(ibislink.ErrMismatchedResponse))
+	})
+
 	It("accepts a response that ends when the connection is closed", func() {
 		p, _ := pool(func(_, _ int, id string) (string, bool) {
 			return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nno length", true
@@ -264,3 +340,122 @@
 		Expect(read(response)).To(Equal("too much"))
 	})
 })
+
+var _ = Describe("The body of a response that has lost its value", func() {
+	const stall, end = 300 * time.Millisecond, 500 * time.Millisecond
+	ctx := context.Background()
+
+	// exchange sends a request to a server that handles its connections by a function, and returns the response.
+	exchange := func(handle func(conn net.Conn), valueUntil time.Time, stall, end time.Duration) (*ibislink.Pool, *ibislink.Response) {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer func() { _ = conn.Close() }()
+					reader := bufio.NewReader(conn)
+					for {
+						if _, err := http.ReadRequest(reader); err != nil {
+							return
+						}
+						handle(conn)
+					}
+				}()
+			}
+		}()
+		p := ibislink.New(ibislink.Options{Address: listener.Addr().String(), StallTimeout: stall, EndTimeout: end})
+		DeferCleanup(p.Close)
+		r := request("")
+		r.ValueUntil = valueUntil
+		response, err := p.Exchange(ctx, r)
+		Expect(err).NotTo(HaveOccurred())
+		return p, response
+	}
+	// repeat writes a text every 5 ms for 5 s, or until the connection is closed, and then closes it.
+	repeat := func(conn net.Conn, text string) {
+		for range 1000 {
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		_ = conn.Close()
+	}
+
+	DescribeTable("is cut if it doesn't end",
+		func(head, text string) {
+			closed := make(chan struct{})
+			_, response := exchange(func(conn net.Conn) {
+				_, _ = io.WriteString(conn, head)
+				repeat(conn, text)
+				close(closed)
+			}, time.Now(), stall, end)
+			_, err := read(response)
+			Expect(err).To(MatchError(ibislink.ErrLateBody))
+			Eventually(closed).Should(BeClosed())
+		},
+		Entry("few bytes without a length", "HTTP/1.1 200 OK\r\n\r\n", "a"),
+		Entry("many bytes without a length", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("a", 64<<10)),
+		Entry("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+		Entry("few bytes of a length", "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n", "a"),
+	)
+
+	It("is cut if no byte arrives, also if its length is known", func() {
+		release := make(chan struct{})
+		DeferCleanup(func() { close(release) })
+		_, response := exchange(func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\nmat")
+			select {
+			case <-release:
+			case <-time.After(5 * time.Second):
+			}
+			_ = conn.Close()
+		}, time.Now(), stall, time.Hour)
+		_, err := read(response)
+		Expect(err).To(MatchError(ibislink.ErrLateBody))
+	})
+
+	It("is returned whole if it ends, and its connection is reused", func() {
+		head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		p, response := exchange(func(conn net.Conn) { _, _ = io.WriteString(conn, head+"3\r\nmat\r\n0\r\n\r\n") }, time.Now(), 2*time.Second, 2*time.Second)
+		Expect(read(response)).To(Equal("mat"))
+		_, err := response.Body.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+		time.Sleep(2200 * time.Millisecond)
+		response, err = p.Exchange(ctx, request(""))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(response)).To(Equal("mat"))
+		Expect(p.Opened()).To(BeEquivalentTo(1))
+	})
+
+	It("is returned whole to a slow reader if its length is known", func() {
+		const length = 64 << 10
+		written := make(chan struct{}, 1)
+		_, response := exchange(func(conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("a", length))
+			written <- struct{}{}
+		}, time.Now(), time.Second, time.Second)
+		Eventually(written).Should(Receive())
+		for n := 0; n < length; {
+			time.Sleep(1500 * time.Millisecond)
+			read, err := io.ReadFull(response.Body, make([]byte, length/2))
+			Expect(err).NotTo(HaveOccurred())
+			n += read
+		}
+		Expect(response.Body.Read(make([]byte, 1))).Error().To(MatchError(io.EOF))
+	})
+
+	It("may pause while it has its value", func() {
+		_, response := exchange(func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nmat\r\n")
+			time.Sleep(2 * (stall + end))
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		}, time.Now().Add(time.Hour), stall, end)
+		Expect(read(response)).To(Equal("mat"))
+	})
+})
