relay: closing an idle connection and beginning a request exclude each other

And http.Server reports StateActive only after the whole head was read, so a connection counted as idle while a head arrived, was closed in the middle of it, and the header limit counted from the end of the head, that is, never.

Ruled out: ReadTimeout and IdleTimeout of http.Server, which can't follow the configuration.

The listener now hands out connections whose Read and whose closing share a lock: the first byte moves an idle connection to the header phase, bytes read after the closing are discarded, a connection with unread bytes in its socket isn't idle, and a request whose connection was closed before its handler began isn't run.

--- a/internal/relay/ibisconnections/connections.go
+++ b/internal/relay/ibisconnections/connections.go
@@ -5,23 +5,14 @@
 	"net/http"
 	"sync"
 	"time"
-)
-
-// phase is what a connection waits for or does; it selects the time limit that applies.
-type phase int
 
-const (
-	// phaseIdle means that the connection waits for the first byte of a request.
-	phaseIdle phase = iota
-	// phaseHeader means that it waits for the remaining headers of a request.
-	phaseHeader
-	// phaseServing means that it runs a request, which has no time limit here.
-	phaseServing
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 )
 
 // Limits are the time limits of a connection; zero means no limit.
 type Limits struct {
-	// Header is the time limit for receiving a request's headers.
+	// Header is the time limit for receiving a request's headers, from their first byte on.
 	Header time.Duration
 	// Idle is the time limit for waiting for the next request.
 	Idle time.Duration
@@ -29,69 +20,97 @@
 
 // Connections tracks the connections of one listener; it is safe for concurrent use.
 type Connections struct {
-	mu     sync.Mutex
-	states map[net.Conn]connState
-}
+	clock ibistimer.Service
 
-type connState struct {
-	phase phase
-	since time.Time
+	mu   sync.Mutex
+	open ibisset.Set[*conn]
 }
 
 // New returns an empty set of connections.
-func New() *Connections {
+func New(clock ibistimer.Service) *Connections {
 	return &Connections{
-		states: make(map[net.Conn]connState),
+		clock: clock,
+		open:  make(ibisset.Set[*conn]),
 	}
 }
 
-// SetState records a connection's new state, as http.Server.ConnState reports it.
-func (c *Connections) SetState(conn net.Conn, state http.ConnState, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := connState{
-		since: now,
+// Listener returns a listener whose connections are tracked from their acceptance until they are closed.
+func (c *Connections) Listener(inner net.Listener) net.Listener {
+	return &listener{
+		Listener:    inner,
+		connections: c,
 	}
-	switch state {
-	case http.StateNew, http.StateIdle:
-		s.phase = phaseIdle
-	case http.StateActive:
-		s.phase = phaseHeader
-	case http.StateHijacked, http.StateClosed:
-		delete(c.states, conn)
-		return
+}
+
+type listener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
-	c.states[conn] = s
+	return l.connections.add(inner), nil
 }
 
-// MarkHeadersComplete records that the headers of a connection's request are complete; from then on no limit applies to it.
-func (c *Connections) MarkHeadersComplete(conn net.Conn) {
+func (c *Connections) add(inner net.Conn) *conn {
+	tracked := &conn{
+		Conn:        inner,
+		connections: c,
+		since:       c.clock.Now(),
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.states[conn]; ok {
-		c.states[conn] = connState{
-			phase: phaseServing,
-		}
+	c.open.Add(tracked)
+	return tracked
+}
+
+func (c *Connections) remove(closed *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open.Remove(closed)
+}
+
+// SetState records a connection's new state, as http.Server.ConnState reports it.
+func (c *Connections) SetState(nc net.Conn, state http.ConnState) {
+	if tracked, ok := nc.(*conn); ok && state == http.StateIdle {
+		tracked.awaitRequest(c.clock.Now())
 	}
 }
 
-// Overdue returns the connections that have exceeded a limit, in no particular order.
-func (c *Connections) Overdue(limits Limits, now time.Time) []net.Conn {
+// BeginRequest records that the headers of a connection's request are complete; from then on no limit applies to it. It reports
+// false if the connection is closed, so that the request must not run.
+func (c *Connections) BeginRequest(nc net.Conn) bool {
+	tracked, ok := nc.(*conn)
+	return !ok || tracked.beginRequest()
+}
+
+// CloseOverdue closes the connections that have exceeded a limit and returns how many there were.
+func (c *Connections) CloseOverdue(limits Limits) int {
+	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []net.Conn
-	for conn, s := range c.states {
-		limit := limits.Idle
-		switch s.phase {
-		case phaseHeader:
-			limit = limits.Header
-		case phaseServing:
-			continue
-		case phaseIdle:
-		}
-		if limit > 0 && now.Sub(s.since) > limit {
-			out = append(out, conn)
+	before := len(c.open)
+	c.closeEach(func(tracked *conn) bool { return tracked.closeIfOverdue(limits, now) })
+	return before - len(c.open)
+}
+
+// CloseIdle closes the connections that wait for a request and returns how many are still open.
+func (c *Connections) CloseIdle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeEach((*conn).closeIfIdle)
+	return len(c.open)
+}
+
+// closeEach drops the connections that the function has closed; c.mu is held.
+func (c *Connections) closeEach(closeIf func(tracked *conn) bool) {
+	for tracked := range c.open {
+		if closeIf(tracked) {
+			c.open.Remove(tracked)
 		}
 	}
-	return out
 }
