--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,9 +64,12 @@
 
 var _ = Describe("Forwarding", func() {
 	clock := ibistimer.New()
+	var closing atomic.Bool
+
+	BeforeEach(func() { closing.Store(false) })
 
 	limitedClient := func(f target, limiter ibisforward.RateLimiter) (*ibisforward.Client, string) {
-		server := httptest.NewServer(ibisforward.Handler(f, limiter, clock, zap.NewNop()))
+		server := httptest.NewServer(ibisforward.Handler(f, limiter, closing.Load, clock, zap.NewNop()))
 		DeferCleanup(server.Close)
 		return ibisforward.NewClient(clock), strings.TrimPrefix(server.URL, "http://")
 	}
@@ -198,6 +202,21 @@
 		Expect(answer.Reason).To(Equal(ibismessage.ReasonUnreachable))
 	})
 
+	It("announces the end of its connections while it closes them, also with an order that it ran meanwhile", func() {
+		_, address := newClient(func(context.Context, ibismessage.Order) ibismessage.Answer {
+			closing.Store(true)
+			return answering(5)(context.Background(), ibismessage.Order{})
+		})
+		request, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("X-Ibis-Order", `{"leftMs":1000}`)
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Expect(response.Close).To(BeTrue())
+	})
+
 	It("rejects a request that is not an order of a node", func() {
 		_, address := newClient(func(context.Context, ibismessage.Order) ibismessage.Answer {
 			panic("a malformed order must not reach the target")
--- a/internal/relay/ibisforward/server.go
+++ b/internal/relay/ibisforward/server.go
@@ -28,8 +28,9 @@
 	WaitN(ctx context.Context, n int) error
 }
 
-// Handler returns the handler of the port that accepts orders of other nodes.
-func Handler(target Target, rateLimiter RateLimiter, clock ibistimer.Service, log *zap.Logger) http.Handler {
+// Handler returns the handler of the port that accepts orders of other nodes. While shouldClose reports true, answers announce
+// the end of their connection, so that no further order is sent on it.
+func Handler(target Target, rateLimiter RateLimiter, shouldClose func() bool, clock ibistimer.Service, log *zap.Logger) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		order, err := decodeOrder(r, clock.Now())
 		if err != nil {
@@ -38,6 +39,9 @@
 			return
 		}
 		answer := target.Send(r.Context(), order)
+		if shouldClose() {
+			w.Header()["Connection"] = []string{"close"}
+		}
 		if answer.Outcome != ibisid.OutcomeDone {
 			w.Header()[headerAnswer] = []string{encodeAnswer(answer)}
 			w.Header()["Date"] = nil
