--- a/internal/relay/ibisdispatch/log.go
+++ b/internal/relay/ibisdispatch/log.go
@@ -81,7 +81,6 @@
 		zap.String("cause", string(cut.Cause)),
 		zap.String("request", request.ID),
 		zap.String("host", request.Host),
-		zap.String("path", request.Path),
 		zap.String("node", string(cut.Node)),
 		zap.Int64("sent", cut.SentBytes),
 		zap.Int64("length", cut.Length),
