ibisapp: the ledger learns of a release by call at once

Cause: the stand-in takes released keys out of what it holds, but told the ledger only when the last request on them ended. Where none ran, the ledger went on counting them as held until the grant's end, and reported the next owner. The check was wrong, not the relay.

Fix: a release is noted before it is answered; keys with work under way stay noted as held until it ends, so the check is as strict.

--- a/internal/standin/ibisapp/call.go
+++ b/internal/standin/ibisapp/call.go
@@ -70,6 +70,7 @@
 			dropped: true,
 		})
 	}
+	s.ledger.granted(s, s.holds)
 	s.mu.Unlock()
 	for s.working(body.From, body.To) {
 		select {
