relay: a stopping gate takes no order whose answer the end of its process would cut off

Callers saw (in a trial, not at the users'): a caller of another node lost the rest of a long answer when the gate's process ended 5.3 s after SIGTERM while the answer still waited for its link.

Cause: a gate takes orders for 2.2 s after the signal and looked at each order's own target and deadline only; answers held in the spool share a paced link (0.8 of it), and the limiter serves them in turn, so that one too many cuts off all of them. Orders that arrive together pass the estimate, since only orders that left the queue count as expected bytes.

Classes whose length isn't known yet pass, as do answers that were queued before the signal.

--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -64,6 +64,7 @@
 	rules         *Rules
 	coldUntil     time.Time
 	stopping      bool
+	answersEnd    time.Time
 	gate          *ibisadmit.Gate
 	nextID        ibisadmit.RequestID
 	waiting       map[ibisadmit.RequestID]chan decision
@@ -115,6 +116,14 @@
 	}
 }
 
+// SetAnswersEnd refuses from now on orders whose answers the link would not have carried by the given time, because the node
+// ends then.
+func (g *Guard) SetAnswersEnd(end time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.answersEnd = end
+}
+
 // Stop refuses all waiting and new requests, because the node is about to stop.
 func (g *Guard) Stop() {
 	g.mu.Lock()
@@ -159,7 +168,14 @@
 		})
 		return g.withLoad(ibismessage.NotRun(ibismessage.ReasonDeadline, 0, nil))
 	}
-	answer := g.send(ctx, order, incarnation, left)
+	expectedBytes, ok := g.reserveLink(order, began)
+	if !ok {
+		g.finish(ibisadmit.FinishEvent{
+			ID: id,
+		})
+		return g.withLoad(ibismessage.NotRun(ibismessage.ReasonStopping, 0, nil))
+	}
+	answer := g.send(ctx, order, incarnation, left, expectedBytes)
 	latency := g.clock.Now().Sub(began)
 	if answer.Outcome != ibisid.OutcomeDone {
 		if answer.Reason == ibismessage.ReasonServerEnded {
@@ -187,12 +203,8 @@
 	return g.withLoad(answer)
 }
 
-// send runs an order and accounts for the bytes of its answer on the link.
-func (g *Guard) send(ctx context.Context, order ibismessage.Order, incarnation ibisroster.ServerIncarnation, left time.Duration) ibismessage.Answer {
-	g.mu.Lock()
-	expectedBytes := g.link.typicalLength(order.Class)
-	g.link.expectedBytes += expectedBytes
-	g.mu.Unlock()
+// send runs an order and accounts for the bytes of its answer on the link, of which expectedBytes are reserved.
+func (g *Guard) send(ctx context.Context, order ibismessage.Order, incarnation ibisroster.ServerIncarnation, left time.Duration, expectedBytes float64) ibismessage.Answer {
 	answer := g.backend.Send(ctx, order, incarnation, left)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/relay/ibisadmission/link.go
+++ b/internal/relay/ibisadmission/link.go
@@ -60,15 +60,37 @@
 }
 
 // checkLink refuses an order whose answer would miss its target and would wait for the link longer than the backend server
-// works on it: the bytes of such an answer only delay the answers queued behind it.
+// works on it: the bytes of such an answer only delay the answers queued behind it. While the node stops, it also refuses an
+// order whose answer would be cut off by the end of the process, together with all answers that share the link with it.
 func (g *Guard) checkLink(order ibismessage.Order, wait time.Duration, now time.Time) (ibismessage.Answer, bool) {
 	typicalLatency := g.gate.MeanSlotTime(order.Class)
+	if wait > 0 && g.missesEnd(wait+typicalLatency, now) {
+		return ibismessage.NotRun(ibismessage.ReasonStopping, 0, nil), false
+	}
 	if order.Target.IsZero() || wait <= typicalLatency || !now.Add(wait+typicalLatency).After(order.Target) {
 		return ibismessage.Answer{}, true
 	}
 	return ibismessage.NotRun(ibismessage.Reason(ibisadmit.ReasonLink), wait, nil), false
 }
 
+// missesEnd reports whether an answer that takes the given time would be cut off by the end of the process; g.mu is held.
+func (g *Guard) missesEnd(duration time.Duration, now time.Time) bool {
+	return !g.answersEnd.IsZero() && now.Add(duration).After(g.answersEnd)
+}
+
+// reserveLink reserves the expected bytes of an answer on the link when its order leaves the queue, and returns them. It reports
+// false if the answers of orders that left it before take so long that this one would be cut off.
+func (g *Guard) reserveLink(order ibismessage.Order, now time.Time) (float64, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if wait := g.link.estimateWait(order.Class); wait > 0 && g.missesEnd(wait, now) {
+		return 0, false
+	}
+	expectedBytes := g.link.typicalLength(order.Class)
+	g.link.expectedBytes += expectedBytes
+	return expectedBytes, true
+}
+
 // bufferAnswer begins to read a long answer into memory, so that it frees its slot early, if AnswerBytes allows it.
 func (g *Guard) bufferAnswer(answer *ibismessage.Answer) {
 	g.mu.Lock()
--- a/internal/relay/ibisadmission/link_test.go
+++ b/internal/relay/ibisadmission/link_test.go
@@ -24,9 +24,14 @@
 type fixedLengthBackend struct {
 	length int
 	err    error
+	// working, if set, keeps answers back until it is closed.
+	working chan struct{}
 }
 
 func (b *fixedLengthBackend) Send(context.Context, ibismessage.Order, ibisroster.ServerIncarnation, time.Duration) ibismessage.Answer {
+	if b.working != nil {
+		<-b.working
+	}
 	body := io.Reader(bytes.NewReader(make([]byte, b.length)))
 	if b.err != nil {
 		body = io.MultiReader(bytes.NewReader(make([]byte, b.length/2)), failingReader{b.err})
@@ -116,4 +121,43 @@
 		}
 		Expect(guard.Send(context.Background(), order()).Outcome).To(Equal(ibisid.OutcomeDone))
 	})
+
+	// Guards against answers queued on the link that the end of a stopping node's process cut off.
+	It("refuses an order whose answer would still wait for the link when the node ends, whatever its target", func() {
+		start(ibisadmission.Limits{AnswerBytes: 100 * length, LinkRate: 2 * length})
+		patient := func() ibismessage.Answer {
+			o := order()
+			o.Target, o.Deadline = clock.Now().Add(time.Minute), clock.Now().Add(time.Minute)
+			return guard.Send(context.Background(), o)
+		}
+		for range 4 {
+			Expect(patient().Outcome).To(Equal(ibisid.OutcomeDone))
+			Eventually(func() int { return guard.Stats().Running }).Should(BeZero())
+		}
+		guard.SetAnswersEnd(clock.Now().Add(2500 * time.Millisecond))
+		Expect(patient().Outcome).To(Equal(ibisid.OutcomeDone), "the fifth of two answers a second")
+		Eventually(func() int { return guard.Stats().Running }).Should(BeZero())
+		refused := patient()
+		Expect(refused.Outcome).To(Equal(ibisid.OutcomeNotRun))
+		Expect(refused.Reason).To(Equal(ibismessage.ReasonStopping))
+	})
+
+	It("refuses an order that waits for a slot when the node begins to stop, if the answers before it fill the link until then", func() {
+		start(ibisadmission.Limits{AnswerBytes: 100 * length, LinkRate: 2 * length})
+		first := guard.Send(context.Background(), order())
+		Expect(first.Body.Close()).To(Succeed())
+		server.working = make(chan struct{})
+		answers := make(chan ibismessage.Answer, 3)
+		for range cap(answers) {
+			o := order()
+			o.Target, o.Deadline = clock.Now().Add(time.Minute), clock.Now().Add(time.Minute)
+			go func() { answers <- guard.Send(context.Background(), o) }()
+		}
+		Eventually(guard.Stats).Should(And(HaveField("Running", 2), HaveField("Waiting", 1)))
+		guard.SetAnswersEnd(clock.Now().Add(1250 * time.Millisecond))
+		close(server.working)
+		outcomes := []ibisid.Outcome{(<-answers).Outcome, (<-answers).Outcome, (<-answers).Outcome}
+		Expect(outcomes).To(ConsistOf(ibisid.OutcomeDone, ibisid.OutcomeDone, ibisid.OutcomeNotRun))
+		Eventually(func() int { return guard.Stats().Running }).Should(BeZero())
+	})
 })
