--- a/internal/relay/ibisadmission/link_test.go
+++ b/internal/relay/ibisadmission/link_test.go
@@ -140,6 +140,7 @@
 		refused := patient()
 		Expect(refused.Outcome).To(Equal(ibisid.OutcomeNotRun))
 		Expect(refused.Reason).To(Equal(ibismessage.ReasonStopping))
+		Expect(guard.Stats().Refused).To(BeEquivalentTo(1), "before it waits for a slot")
 	})
 
 	It("refuses an order that waits for a slot when the node begins to stop, if the answers before it fill the link until then", func() {
