--- a/internal/standin/ibisapp/fault.go
+++ b/internal/standin/ibisapp/fault.go
@@ -29,7 +29,7 @@
 // SetFault sets what the server does wrong from its next answer on.
 func (s *Server) SetFault(fault Fault) { s.fault.Store(int32(fault)) }
 
-// sendWithoutEnd sends an answer without end, until the connection is closed or the server ends.
+// sendWithoutEnd sends an answer without end, until the connection is closed, the fault ends or the server does.
 func (s *Server) sendWithoutEnd(w http.ResponseWriter, id string, fault Fault) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -43,7 +43,7 @@
 		block = fmt.Sprintf("%x\r\n%s\r\n", endlessBlock, strings.Repeat("e", endlessBlock))
 	}
 	_, err = io.WriteString(conn, head)
-	for err == nil && s.done.Err() == nil {
+	for err == nil && s.done.Err() == nil && Fault(s.fault.Load()) == fault {
 		time.Sleep(endlessPause)
 		_, err = io.WriteString(conn, block)
 	}
