ibisconnections: reading a socket and marking its connection as busy are one step

Fix: the read doesn't wait and runs under the lock that closing takes; the wait for the socket is outside. The close itself is outside of the lock too, as it waits for a reader.

--- a/internal/relay/ibisconnections/conn.go
+++ b/internal/relay/ibisconnections/conn.go
@@ -1,6 +1,7 @@
 package ibisconnections
 
 import (
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -28,30 +29,92 @@
 type conn struct {
 	net.Conn
 	connections *Connections
+	// raw gives access to the socket, nil if the connection isn't one.
+	raw syscall.RawConn
 
 	mu    sync.Mutex
 	phase phase
 	since time.Time
 }
 
-// Read reads from the connection. Bytes that arrive on an idle connection begin a request; bytes that are read after the
-// connection was closed are discarded.
+func newConn(inner net.Conn, connections *Connections, now time.Time) *conn {
+	c := &conn{
+		Conn:        inner,
+		connections: connections,
+		since:       now,
+	}
+	if socket, ok := inner.(syscall.Conn); ok {
+		if raw, err := socket.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	return c
+}
+
+// Read reads from the connection. Bytes that arrive on an idle connection begin a request; none are returned once the
+// connection is closed.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 {
+	if c.raw == nil {
+		n, err := c.Conn.Read(p)
+		if n > 0 && !c.receive() {
+			return 0, net.ErrClosed
+		}
 		return n, err
 	}
+	var n int
+	var err error
+	wait := c.raw.Read(func(fd uintptr) bool {
+		n, err = c.readSocket(int(fd), p)
+		return err != syscall.EAGAIN
+	})
+	switch {
+	case wait != nil:
+		return 0, wait
+	case err != nil:
+		return 0, err
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readSocket reads what the socket has received, without waiting, while no one can close the connection for idleness.
+func (c *conn) readSocket(fd int, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseClosed {
+		return 0, net.ErrClosed
+	}
+	n, err := syscall.Read(fd, p)
+	for err == syscall.EINTR {
+		n, err = syscall.Read(fd, p)
+	}
+	if err != nil {
+		return 0, err
+	}
+	if n > 0 {
+		c.beginHeader()
+	}
+	return n, nil
+}
+
+// receive records that bytes were read, and reports false if the connection is closed.
+func (c *conn) receive() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch c.phase {
-	case phaseIdle:
+	if c.phase == phaseClosed {
+		return false
+	}
+	c.beginHeader()
+	return true
+}
+
+// beginHeader records the first byte of a request on an idle connection; c.mu is held.
+func (c *conn) beginHeader() {
+	if c.phase == phaseIdle {
 		c.phase = phaseHeader
 		c.since = c.connections.clock.Now()
-	case phaseClosed:
-		return 0, net.ErrClosed
-	case phaseHeader, phaseServing:
 	}
-	return n, err
 }
 
 // Close closes the connection.
@@ -89,58 +152,49 @@
 
 // closeIfIdle closes the connection if it waits for a request, and reports whether it did.
 func (c *conn) closeIfIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase == phaseIdle && c.closeUnread()
+	return c.closeIf(func() bool { return c.phase == phaseIdle && !c.hasUnreadBytes() })
 }
 
 // closeIfOverdue closes the connection if it has exceeded a limit, and reports whether it did.
 func (c *conn) closeIfOverdue(limits Limits, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	waited := now.Sub(c.since)
-	switch c.phase {
-	case phaseIdle:
-		return limits.Idle > 0 && waited > limits.Idle && c.closeUnread()
-	case phaseHeader:
-		if limits.Header > 0 && waited > limits.Header {
-			c.close()
-			return true
+	return c.closeIf(func() bool {
+		waited := now.Sub(c.since)
+		switch c.phase {
+		case phaseIdle:
+			return limits.Idle > 0 && waited > limits.Idle && !c.hasUnreadBytes()
+		case phaseHeader:
+			return limits.Header > 0 && waited > limits.Header
+		case phaseServing, phaseClosed:
 		}
-	case phaseServing, phaseClosed:
-	}
-	return false
-}
-
-// closeUnread closes the connection unless a request has arrived that was not read yet; c.mu is held.
-func (c *conn) closeUnread() bool {
-	if hasUnreadBytes(c.Conn) {
 		return false
-	}
-	c.close()
-	return true
+	})
 }
 
-// close closes the connection; c.mu is held.
-func (c *conn) close() {
-	c.phase = phaseClosed
-	_ = c.Conn.Close()
+// closeIf closes the connection if the condition holds, which is called with c.mu held, and reports whether it did.
+func (c *conn) closeIf(condition func() bool) bool {
+	c.mu.Lock()
+	closing := condition()
+	if closing {
+		c.phase = phaseClosed
+	}
+	c.mu.Unlock()
+	if closing {
+		// Close waits for a reader, which takes the lock.
+		_ = c.Conn.Close()
+	}
+	return closing
 }
 
-// hasUnreadBytes reports whether bytes wait in the receive buffer of a socket.
-func hasUnreadBytes(nc net.Conn) bool {
-	socket, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+// hasUnreadBytes reports whether bytes wait in the receive buffer of the socket: a request that has arrived and was not read
+// yet.
+func (c *conn) hasUnreadBytes() bool {
+	if c.raw == nil {
 		return false
 	}
 	var peeked [1]byte
 	unread := false
 	// Control, unlike Read, does not wait for a concurrent read of the connection.
-	err = raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		n, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		unread = err == nil && n > 0
 	})
--- a/internal/relay/ibisconnections/connections.go
+++ b/internal/relay/ibisconnections/connections.go
@@ -57,11 +57,7 @@
 }
 
 func (c *Connections) add(inner net.Conn) *conn {
-	tracked := &conn{
-		Conn:        inner,
-		connections: c,
-		since:       c.clock.Now(),
-	}
+	tracked := newConn(inner, c, c.clock.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open.Add(tracked)
--- a/internal/relay/ibisconnections/connections_test.go
+++ b/internal/relay/ibisconnections/connections_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisconnections"
@@ -44,6 +45,17 @@
 	return n, err
 }
 
+// awaitDelivery waits until the peer's socket has received all that was written to a connection.
+func awaitDelivery(conn net.Conn) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(func() int {
+		unacknowledged := -1
+		_ = raw.Control(func(fd uintptr) { unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+		return unacknowledged
+	}).Should(BeZero())
+}
+
 var _ = Describe("Connections", func() {
 	var (
 		clock  *ibistimer.Fake
@@ -144,8 +156,9 @@
 		conn := accept(inner)
 		_, err = caller.Write([]byte("G"))
 		Expect(err).NotTo(HaveOccurred())
+		awaitDelivery(caller)
 		clock.Advance(16 * time.Second)
-		Eventually(conns.CloseIdle).Should(Equal(1))
+		Expect(conns.CloseIdle()).To(Equal(1))
 		Expect(conns.CloseOverdue(limits)).To(BeZero())
 		receive(conn, caller)
 	})
@@ -211,6 +224,7 @@
 		expectAnswer()
 		clock.Advance(14 * time.Second)
 		write("GET / HTTP/1.1\r\n")
+		awaitDelivery(caller)
 		clock.Advance(2 * time.Second)
 		Expect(conns.CloseOverdue(limits)).To(BeZero())
 		Consistently(conns.CloseIdle, 100*time.Millisecond).Should(Equal(1))
