A backend server that answers before it has read a body still gets the rest

Callers saw: an answer of more than 16 KiB that begins before the end of a body of more than 64 KiB was held back until the whole body had come, and could then break off, since the backend server got no more of the body.

Cause: http.Server, unless told otherwise, reads the rest of a request's body and discards it (up to 256 KiB) before it sends the header of an answer, while the exchange with the backend server reads the same body in the background. Both ports do, that for callers and that for other nodes.

Ruled out: the exchange with the backend server, which reads and writes at once.

The rest of a body is then discarded after the answer, as before, and where it may be too long for that the answer announces the end of its connection, as http.Server did by itself.

--- a/internal/relay/ibisforward/server.go
+++ b/internal/relay/ibisforward/server.go
@@ -39,7 +39,12 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		body := KeepBody(w, r)
+		if order.BodyRest != nil {
+			order.BodyRest = body
+		}
 		answer := target.Send(r.Context(), order)
+		body.AnnounceClose(w.Header())
 		if shouldClose() {
 			w.Header()["Connection"] = []string{"close"}
 		}
