The gate counts the bytes of answers, not their announced lengths

Callers saw: after one answer of a backend server with a nonsensical Content-Length, every request of its class was refused by that node for good; where another long answer waited for the link just then, that request got 502.

Cause: the mean length of a class took the announced length as soon as the head had come. One of 2^63-1 bytes makes the expected wait for the link overflow, no order of the class is admitted any more, and so nothing corrects the mean. The check whether an answer fits into the buffer overflowed as well: the buffer could not be made (a panic), and the count of held bytes stayed below zero, so that from then on any answer was buffered. And answers without announced length counted for nothing: a stopping gate took orders whose long answers the end of its process cut off.

Ruled out: the spool itself, whose reads never exceed its buffer.

Fix: an answer counts when it has ended, with the bytes that came; one that broke off doesn't count; one that its caller left counts as announced, at most with what the link carries in the order's time. The check subtracts instead of adding.

--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -206,14 +208,15 @@
 	}
 	g.recordHeaders(id)
 	answer.Body = &slotBody{
-		body: answer.Body,
-		releaseSlot: sync.OnceFunc(func() {
-			g.finish(ibisadmit.FinishEvent{
+		body:      answer.Body,
+		announced: min(answer.Length, g.link.limits.bytesWithin(left)),
+		release: func(length int64) {
+			g.finishAnswer(order.Class, length, ibisadmit.FinishEvent{
 				ID:      id,
 				Latency: latency,
 				Failed:  answer.Status >= http.StatusInternalServerError,
 			})
-		}),
+		},
 	}
 	g.bufferAnswer(&answer)
 	return answer
@@ -221,37 +224,49 @@
 
 // send runs an order and accounts for the bytes of its answer on the link, of which expectedBytes are reserved.
 func (g *Guard) send(ctx context.Context, order ibismessage.Order, incarnation ibisroster.ServerIncarnation, left time.Duration, expectedBytes float64) ibismessage.Answer {
-	var answer ibismessage.Answer
 	defer func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.link.expectedBytes -= expectedBytes
-		if answer.Outcome == ibisid.OutcomeDone {
-			g.link.recordLength(order.Class, answer.Length)
-		}
 	}()
-	answer = g.backend.Send(ctx, order, incarnation, left)
-	return answer
+	return g.backend.Send(ctx, order, incarnation, left)
+}
+
+// finishAnswer records the length of an answer in bytes, -1 if it is not known, and releases its slot.
+func (g *Guard) finishAnswer(class ibisid.ClassName, length int64, e ibisadmit.FinishEvent) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.link.recordLength(class, length)
+	g.apply(e, g.clock.Now())
 }
 
 // slotBody releases the slot of a request when its answer has been read to the end, has failed or is closed.
 type slotBody struct {
-	body        io.ReadCloser
-	releaseSlot func()
+	body io.ReadCloser
+	// announced is the length in bytes that counts for an answer that is closed before its end, -1 if unknown.
+	announced int64
+	read      atomic.Int64
+	once      sync.Once
+	// release is called once, with the length of the answer in bytes, -1 if it broke off.
+	release func(length int64)
 }
 
 // Read reads the body; it releases the slot at the end or at an error.
 func (b *slotBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
+	length := b.read.Add(int64(n))
 	if err != nil {
-		b.releaseSlot()
+		if !errors.Is(err, io.EOF) {
+			length = -1
+		}
+		b.once.Do(func() { b.release(length) })
 	}
 	return n, err
 }
 
 // Close releases the slot and closes the body.
 func (b *slotBody) Close() error {
-	b.releaseSlot()
+	b.once.Do(func() { b.release(b.announced) })
 	return b.body.Close()
 }
 
--- a/internal/relay/ibisadmission/link.go
+++ b/internal/relay/ibisadmission/link.go
@@ -20,6 +20,9 @@
 	LinkRate float64
 }
 
+// bytesWithin returns how many bytes of long answers the link carries within a duration.
+func (l Limits) bytesWithin(d time.Duration) int64 { return int64(l.LinkRate * d.Seconds()) }
+
 // link counts the bytes of answers that wait for the instance's network link, and the expected bytes of requests that are
 // still running.
 type link struct {
@@ -96,7 +99,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	length := int(answer.Length)
-	if length <= ibismessage.MaxBufferedAnswerBytes || g.link.heldBytes+length > g.link.limits.AnswerBytes {
+	if length <= ibismessage.MaxBufferedAnswerBytes || length > g.link.limits.AnswerBytes-g.link.heldBytes {
 		return
 	}
 	g.link.heldBytes += length
