A broken-off answer to an HTTP/1.0 caller resets the connection

Callers saw: a caller that speaks HTTP/1.0 took a broken-off answer without length, longer than 16 KiB, for a complete one.

Cause: HTTP/1.0 has no chunks, so the end of the connection is the only mark of the end of such an answer. The node closed it after a cut as after a complete answer, and so does the kernel when the process exits.

Ruled out: answers up to 16 KiB, which are read whole first and get a length; other nodes, which speak HTTP/1.1.

Fix: while such an answer is being written its socket doesn't linger, so that any end of the connection is a reset; once it has been handed to the kernel in full, the connection ends as usual. Answers to HTTP/1.1 are as before.

--- a/internal/relay/ibisconnections/conn.go
+++ b/internal/relay/ibisconnections/conn.go
@@ -68,6 +68,17 @@
 	return nil
 }
 
+// SetResetOnClose sets whether the end of the connection, also by the exit of the process, resets it.
+func (c *conn) SetResetOnClose(reset bool) {
+	lingerSeconds := -1
+	if reset {
+		lingerSeconds = 0
+	}
+	if inner, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = inner.SetLinger(lingerSeconds)
+	}
+}
+
 func (c *conn) awaitRequest(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
