Gates without history learn a class's typical latency from other gates of the service

What callers saw: a backend server that turned cold without a word got more requests than it bears for longer than 2 s where its gate had seen no answer of one of its classes, or mostly answers of nearly 2 s.

Now a gate tells the gates of other nodes, in a header of forwarded requests and of their answers, what it has learnt of the request's class: mean, quick quarter, share of slow answers, number of answers. It costs no control message: with each of the first 50 answers, then once a second a class. A gate with fewer than 50 answers takes the mean from the reports where they rest on more answers than its own, finds stalled requests by it, and takes a run of slow answers for a cold server if its chance, C(N,K)/C(N+m,K) for any distribution, is below 1 in 6,000. What follows is a ramp or a probe that ends in a ramp, never an endless probe, and after it the gate goes by its own answers: a server that is slower than the others loses one cold start, once. Nodes without the header are served as before; old ones drop it, as every X-Ibis- header.

--- a/admission.go
+++ b/admission.go
@@ -23,6 +23,10 @@
 	LimitAlgorithm = ibisadmit.LimitAlgorithm
 	// GateReason is the cause of a refusal.
 	GateReason = ibisadmit.Reason
+	// GateTypicalLatency is what a gate has learnt of the time to the head of one class's answers.
+	GateTypicalLatency = ibisadmit.TypicalLatency
+	// GateReport is the typical latency of a class as another gate of the service tells it.
+	GateReport = ibisadmit.Report
 )
 
 const (
--- a/admissionevent.go
+++ b/admissionevent.go
@@ -24,6 +24,8 @@
 	GateDomainEvent = ibisadmit.DomainEvent
 	// GatePolicyEvent replaces the policy.
 	GatePolicyEvent = ibisadmit.PolicyEvent
+	// GateBaselineEvent reports what another gate of the same service has learnt of a class.
+	GateBaselineEvent = ibisadmit.BaselineEvent
 	// GateDrainEvent ends admission permanently: queued requests are refused, running ones finish, and a
 	// GateDrainedEffect follows the last one.
 	GateDrainEvent = ibisadmit.DrainEvent
--- a/internal/measure/ibiscell/gate.go
+++ b/internal/measure/ibiscell/gate.go
@@ -71,6 +71,38 @@
 // Load returns the load that routers see.
 func (g *gate) Load() float64 { return g.core.Load(g.node.Now()) }
 
+// TellTypical returns what other nodes should hear of the class now.
+func (g *gate) TellTypical(class ibisid.ClassName) (ibisadmit.TypicalLatency, bool) {
+	return g.core.TellTypical(class, g.node.Now())
+}
+
+// LearnTypical takes in what another node told of the class.
+func (g *gate) LearnTypical(class ibisid.ClassName, report ibisadmit.Report) {
+	g.update(ibisadmit.BaselineEvent{
+		Class:  class,
+		Report: report,
+	})
+}
+
+// tell returns what the entry node's side of the router tells with a request.
+func (g *gate) tell(class ibisid.ClassName) string {
+	typical, ok := g.TellTypical(class)
+	if !ok {
+		return ""
+	}
+	return ibisadmit.Report{
+		From:    g.node.name,
+		Typical: typical,
+	}.String()
+}
+
+// learn takes in what an answer tells.
+func (g *gate) learn(class ibisid.ClassName, told string) {
+	if report, err := ibisadmit.ParseReport(told); err == nil {
+		g.LearnTypical(class, report)
+	}
+}
+
 // policy follows the document.
 func (g *gate) policy(doc *ibisdoc.Document) {
 	policy := ibisadmit.Policy{
--- a/internal/measure/ibiscell/mutation_test.go
+++ b/internal/measure/ibiscell/mutation_test.go
@@ -113,6 +113,12 @@
 		Entry("cold start ignored", matrix("--flow", "hedge", "--fault", "restart"), "coldBears", edit{
 			"internal/request/ibisadmit/gate.go", "if config.StartCold {", "if config.StartCold && config.Slots < 0 {",
 		}),
+		Entry("what other gates told ignored", matrix("--flow", "move", "--fault", "serverCold"), "coldBears", edit{
+			"internal/request/ibisadmit/gate.go", "g.limit.learn(e)", "_ = e",
+		}),
+		Entry("runs of slow answers ignored", matrix("--flow", "takeOverUnfenced", "--fault", "serverCold"), "coldBears", edit{
+			"internal/request/ibisadmit/limit.go", "l.streak.showsCold() || l.runShowsCold()", "l.streak.showsCold()",
+		}),
 		Entry("lower revision accepted", tests("./internal/document/ibisrollout"), "FAIL",
 			edit{"internal/document/ibisrollout/replica.go", "if e.Version.Revision() <= r.inForce.Revision() {", "if e.Version == \"\" {"},
 			edit{"internal/document/ibisrollout/replica.go", "if version.Revision() <= r.known.Revision() {", "if version.Revision() == r.known.Revision() {"},
--- a/internal/measure/ibiscell/order.go
+++ b/internal/measure/ibiscell/order.go
@@ -14,6 +14,7 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/document/ibisname"
 	"github.com/ibisridge/ibisridge/internal/node/ibisowner"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
 	"github.com/ibisridge/ibisridge/internal/peer/ibiscaller"
 	"github.com/ibisridge/ibisridge/internal/request/ibisbalancer"
 	"github.com/ibisridge/ibisridge/internal/request/ibisretry"
@@ -67,6 +68,7 @@
 
 // pursuit is one request at an entry node.
 type pursuit struct {
+	class    ibisid.ClassName
 	sent     *sending
 	number   int
 	deadline time.Time
@@ -202,6 +204,7 @@
 	p.nextID++
 	id := p.nextID
 	pursuit := &pursuit{
+		class:    match.Route.Class,
 		sent:     sent,
 		deadline: n.Now().Add(budget),
 		answers:  make(map[ibisretry.Attempt]final),
@@ -347,14 +350,21 @@
 		return
 	}
 	p.node.After(remaining+answerGrace, func(time.Time) { once(final{outcome: ibisid.OutcomeUnknown}, ibisid.Member{}) })
+	typical := ""
+	if target != p.node {
+		typical = p.node.gate.tell(pursuit.class)
+	}
 	serve := func() {
-		target.serve(pursuit.sent.order, role, attempt, remaining, func(f final, hint ibisid.Member) {
+		target.serve(pursuit.sent.order, role, attempt, typical, remaining, func(f final, hint ibisid.Member, told string) {
 			w.points("answered", target)
 			if target == p.node {
 				once(f, hint)
 				return
 			}
-			w.sendOnce(target, p.node, func() { once(f, hint) })
+			w.sendOnce(target, p.node, func() {
+				p.node.gate.learn(pursuit.class, told)
+				once(f, hint)
+			})
 		})
 	}
 	if target == p.node {
@@ -365,7 +375,7 @@
 }
 
 // serve runs the node's own handler of forwarded requests.
-func (n *node) serve(o *order, role, attempt string, remaining time.Duration, answer func(final, ibisid.Member)) {
+func (n *node) serve(o *order, role, attempt, typical string, remaining time.Duration, answer func(f final, hint ibisid.Member, told string)) {
 	n.world.points("arrived", n)
 	request := &http.Request{
 		Method: o.method,
@@ -381,13 +391,16 @@
 		},
 		Body: http.NoBody,
 	}
+	if typical != "" {
+		request.Header.Set(ibisbackend.HeaderTypical, typical)
+	}
 	n.world.spawn(func(ctx context.Context) {
 		r := &recorder{
 			header: http.Header{},
 		}
 		n.router.Peers().ServeHTTP(r, request.WithContext(ctx))
 		f, hint := r.final()
-		n.world.after(0, func() { n.do(func() { answer(f, hint) }) })
+		n.world.after(0, func() { n.do(func() { answer(f, hint, r.header.Get(ibisbackend.HeaderTypical)) }) })
 	})
 }
 
--- a/internal/node/ibisgate/gate.go
+++ b/internal/node/ibisgate/gate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/document/ibisdoc"
 	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
@@ -64,6 +65,24 @@
 	return g.core.Load(g.timer.Now())
 }
 
+// TellTypical returns the typical latency of the class if other nodes of the service should hear of it now.
+func (g *Gate) TellTypical(class ibisid.ClassName) (ibisadmit.TypicalLatency, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.core == nil {
+		return ibisadmit.TypicalLatency{}, false
+	}
+	return g.core.TellTypical(class, g.timer.Now())
+}
+
+// LearnTypical passes on what another node of the service told of the class.
+func (g *Gate) LearnTypical(class ibisid.ClassName, report ibisadmit.Report) {
+	g.update(ibisadmit.BaselineEvent{
+		Class:  class,
+		Report: report,
+	})
+}
+
 // Stats are the current state values of a gate.
 type Stats struct {
 	// Limit is the number of requests that may run now.
--- a/internal/node/ibisnode/singlenode_test.go
+++ b/internal/node/ibisnode/singlenode_test.go
@@ -197,6 +197,14 @@
 // Load returns zero.
 func (n *singleNode) Load() float64 { return 0 }
 
+// TellTypical tells nothing.
+func (n *singleNode) TellTypical(ibisid.ClassName) (ibisadmit.TypicalLatency, bool) {
+	return ibisadmit.TypicalLatency{}, false
+}
+
+// LearnTypical does nothing.
+func (n *singleNode) LearnTypical(ibisid.ClassName, ibisadmit.Report) {}
+
 // Current returns the document.
 func (n *singleNode) Current() *ibisdoc.Document { return n.document }
 
--- a/internal/node/ibisrequestrouter/fleet_test.go
+++ b/internal/node/ibisrequestrouter/fleet_test.go
@@ -27,6 +27,7 @@
 	"github.com/ibisridge/ibisridge/internal/node/ibisrequestrouter"
 	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
 	"github.com/ibisridge/ibisridge/internal/peer/ibismember"
+	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 	"github.com/ibisridge/ibisridge/internal/request/ibisidempotency"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisstore"
 )
@@ -107,7 +108,9 @@
 	mu    sync.Mutex
 	runs  map[string]int
 	total int
-	peers *ibismember.Forwarder
+	// learned lists what other nodes told this node of the latency of a class.
+	learned []ibisadmit.Report
+	peers   *ibismember.Forwarder
 }
 
 // newFleet starts nodes of a service; the first one owns every slot.
@@ -152,7 +155,7 @@
 		Service: service,
 		Slots:   4,
 	}
-	router = ibisrequestrouter.New(ibisrequestrouter.Dependencies{Ownership: n, Gate: n.gate, Peers: n, Documents: f, Memory: n.memory, Timer: timer, Metrics: n.metrics, Log: zap.NewNop(), Seed: 1})
+	router = ibisrequestrouter.New(ibisrequestrouter.Dependencies{Ownership: n, Gate: learningGate{Gate: n.gate, node: n}, Peers: n, Documents: f, Memory: n.memory, Timer: timer, Metrics: n.metrics, Log: zap.NewNop(), Seed: 1})
 	n.router = router
 	n.callers = httptest.NewServer(router.Callers())
 	n.gate.SetDocument(f.doc.Load())
@@ -174,6 +177,30 @@
 	return n
 }
 
+// learningGate records what the router passes to the node's gate.
+type learningGate struct {
+	*ibisgate.Gate
+	node *node
+}
+
+func (g learningGate) LearnTypical(class ibisid.ClassName, report ibisadmit.Report) {
+	g.node.mu.Lock()
+	g.node.learned = append(g.node.learned, report)
+	g.node.mu.Unlock()
+	g.Gate.LearnTypical(class, report)
+}
+
+// tellers returns the names of the nodes that told this node of a latency.
+func (n *node) tellers() []ibisid.NodeName {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var names []ibisid.NodeName
+	for _, r := range n.learned {
+		names = append(names, r.From)
+	}
+	return names
+}
+
 // run is the backend server: it counts the runs by Idempotency-Key and calls serve.
 func (n *node) run(w http.ResponseWriter, r *http.Request) {
 	n.mu.Lock()
--- a/internal/node/ibisrequestrouter/forward.go
+++ b/internal/node/ibisrequestrouter/forward.go
@@ -54,11 +54,13 @@
 		headerRole:                []string{string(next)},
 		ibiscaller.HeaderDeadline: []string{remaining.String()},
 	}
+	rt.tellTypical(q, request.NodeHeader)
 	request.Deadline = q.deadline.Add(answerGrace)
 	sent := rt.peers.Send(ctx, to.Address, request)
 	if sent.Answer == nil {
 		return refused(sendRefusal(sent))
 	}
+	rt.learnTypical(q, sent.Answer.Typical())
 	r := resultFromPeer(sent.Answer)
 	r.latency = rt.timer.Now().Sub(start)
 	if answer := r.answer; answer != nil && to.Place.Region != rt.chooserConfig.Own.Region {
--- a/internal/node/ibisrequestrouter/router.go
+++ b/internal/node/ibisrequestrouter/router.go
@@ -17,6 +17,7 @@
 	"github.com/ibisridge/ibisridge/internal/node/ibisowner"
 	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
 	"github.com/ibisridge/ibisridge/internal/peer/ibiscaller"
+	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 	"github.com/ibisridge/ibisridge/internal/request/ibisbalancer"
 )
 
@@ -56,6 +57,10 @@
 	Send(ctx context.Context, info ibisgate.RequestInfo, request ibisbackend.Request) ibisbackend.Result
 	// Load returns the number of running and waiting requests divided by the concurrency limit.
 	Load() float64
+	// TellTypical returns the typical latency of the class if other nodes of the service should hear of it now.
+	TellTypical(class ibisid.ClassName) (ibisadmit.TypicalLatency, bool)
+	// LearnTypical takes in what another node of the service told of the class.
+	LearnTypical(class ibisid.ClassName, report ibisadmit.Report)
 }
 
 // Peers forwards requests to other nodes.
@@ -164,11 +169,15 @@
 		refuseUnread(w, r, refusal)
 		return
 	}
+	if role != roleEntry {
+		rt.learnTypical(q, r.Header.Get(ibisbackend.HeaderTypical))
+	}
 	outcome := rt.dispatch(r.Context(), q, role)
 	if role == roleEntry {
 		rt.requestMetrics.observeRequest(q, outcome, rt.timer.Now().Sub(start))
 	} else {
 		w.Header().Set(headerLoad, formatLoad(rt.gate.Load()))
+		rt.tellTypical(q, w.Header())
 	}
 	rt.write(w, outcome)
 }
--- /dev/null
+++ b/internal/node/ibisrequestrouter/typical_test.go
@@ -0,0 +1,66 @@
+package ibisrequestrouter_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
+)
+
+var _ = Describe("The typical latency of a class", func() {
+	lookUp := func(n *node) reply {
+		r := ask(context.Background(), n, http.MethodGet, "/mat/MAT-1", nil)
+		Expect(r.code()).To(Equal("200"))
+		return r
+	}
+
+	It("is told to the gates of other nodes with answers and forwarded requests, and to nobody else", func() {
+		f := newFleet(keyed, 2)
+		owner, entry := f.nodes[0], f.nodes[1]
+		var leaks atomic.Int64
+		f.answer(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(ibisbackend.HeaderTypical) != "" {
+				leaks.Add(1)
+			}
+			w.Header().Set(ibisbackend.HeaderTypical, "n9 1ms 1ms 0.00 99")
+		})
+		lookUp(owner)
+		for range 2 {
+			Expect(lookUp(entry).header).NotTo(HaveKey(ibisbackend.HeaderTypical))
+		}
+		Expect(entry.tellers()).To(ConsistOf(owner.peer.Member.Name, owner.peer.Member.Name))
+		Expect(owner.tellers()).To(BeEmpty(), "the entry node's gate has seen no answer")
+		f.owner.Store(entry)
+		lookUp(entry)
+		f.owner.Store(owner)
+		lookUp(entry)
+		Expect(owner.tellers()).To(ConsistOf(entry.peer.Member.Name))
+		Expect(leaks.Load()).To(BeZero())
+	})
+
+	It("is not needed: nodes that tell nothing, or nothing that can be read, are served as before", func() {
+		f := newFleet(keyed, 2)
+		for _, told := range []string{"", "n1", "n1 1ms 1ms 0.5 -1"} {
+			change := func(peerHandler http.Handler, w http.ResponseWriter, r *http.Request) {
+				r.Header.Set(ibisbackend.HeaderTypical, told)
+				peerHandler.ServeHTTP(w, r)
+			}
+			f.nodes[0].onPeer.Store(&change)
+			lookUp(f.nodes[1])
+		}
+		Expect(f.nodes[0].tellers()).To(BeEmpty())
+	})
+
+	It("is not told to the gate of another service, which may have classes of the same name", func() {
+		f := newFleet(keyed, 1)
+		other := f.start(unkeyed, 1)
+		f.nodes = append(f.nodes, other)
+		lookUp(other)
+		lookUp(other)
+		Expect(other.tellers()).To(BeEmpty())
+	})
+})
--- a/internal/peer/ibisbackend/answer.go
+++ b/internal/peer/ibisbackend/answer.go
@@ -18,7 +18,9 @@
 	header http.Header
 	length int64
 	notRun bool
-	body   *answerBody
+	// typical is the value of HeaderTypical.
+	typical string
+	body    *answerBody
 	// replacement is read instead of the body if it is not nil.
 	replacement io.Reader
 }
@@ -40,10 +42,11 @@
 		remaining = 0
 	}
 	return &Answer{
-		status: response.StatusCode,
-		header: EndToEndHeaders(response.Header),
-		length: length,
-		notRun: response.Header.Get(HeaderNotRun) == "true",
+		status:  response.StatusCode,
+		header:  EndToEndHeaders(response.Header),
+		length:  length,
+		notRun:  response.Header.Get(HeaderNotRun) == "true",
+		typical: response.Header.Get(HeaderTypical),
 		body: &answerBody{
 			body:        response.Body,
 			cancel:      cancel,
@@ -59,6 +62,9 @@
 // Header returns the headers without the hop-by-hop ones.
 func (a *Answer) Header() http.Header { return a.header }
 
+// Typical returns the value of HeaderTypical in the answer of another node, empty if there is none.
+func (a *Answer) Typical() string { return a.typical }
+
 // Length returns the length of the body in bytes, -1 for a chunked body of unknown length.
 func (a *Answer) Length() int64 { return a.length }
 
--- a/internal/peer/ibisbackend/header.go
+++ b/internal/peer/ibisbackend/header.go
@@ -23,6 +23,8 @@
 	HeaderKey = "X-Ibis-Key"
 	// HeaderNotRun is set to "true" by a backend server that rejects a request before it begins to run it.
 	HeaderNotRun = "X-Ibis-Not-Run"
+	// HeaderTypical carries what a node's gate has learnt of the latency of the request's class, between nodes only.
+	HeaderTypical = "X-Ibis-Typical"
 	// HeaderIdempotencyKey carries the idempotency key that the caller chose; repeats of a request have the same key.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
--- a/internal/request/ibisadmit/event.go
+++ b/internal/request/ibisadmit/event.go
@@ -86,6 +86,15 @@
 	Policy Policy
 }
 
+// BaselineEvent reports what another gate of the same service has learnt of a class. As long as the gate has too few answers of
+// its own, it tells by it that its own server is cold.
+type BaselineEvent struct {
+	// Class is the class.
+	Class ibisid.ClassName
+	// Report is what the other gate told.
+	Report Report
+}
+
 // TickEvent makes the gate check for a stalled server and for waiting requests that can no longer meet their deadline.
 type TickEvent struct{}
 
@@ -98,4 +107,5 @@
 func (DrainEvent) gateEvent()        {}
 func (DomainEvent) gateEvent()       {}
 func (PolicyEvent) gateEvent()       {}
+func (BaselineEvent) gateEvent()     {}
 func (TickEvent) gateEvent()         {}
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -29,6 +29,7 @@
 	queuesByKey     map[queueKey]*classQueue
 	running         map[RequestID]runningRequest
 	timings         map[ibisid.ClassName]*classTiming
+	toldAt          map[ibisid.ClassName]time.Time
 	rates           map[ibisid.TenantName]*rate.Limiter
 	openConnections int
 	draining        bool
@@ -63,6 +64,7 @@
 		queuesByKey: make(map[queueKey]*classQueue),
 		running:     make(map[RequestID]runningRequest),
 		timings:     make(map[ibisid.ClassName]*classTiming),
+		toldAt:      make(map[ibisid.ClassName]time.Time),
 	}
 	g.setPolicy(config.Policy)
 	if config.StartCold {
@@ -125,6 +127,8 @@
 		g.refuseAll(ReasonDraining)
 	case DomainEvent:
 		g.setDomain(e, now)
+	case BaselineEvent:
+		g.limit.learn(e)
 	case PolicyEvent:
 		g.setPolicy(e.Policy)
 	case TickEvent:
--- a/internal/request/ibisadmit/limit.go
+++ b/internal/request/ibisadmit/limit.go
@@ -24,14 +24,19 @@
 // limiter computes the adaptive concurrency limit of one server. The limit in force is the least of the limit that the algorithm
 // adapts, the limit of the hill climb, each active ramp and the level of the probe.
 type limiter struct {
-	algorithm       LimitAlgorithm
-	slots           int
-	coldStart       time.Duration
-	limit           float64
-	baseline        *ibislatency.Baseline
+	algorithm LimitAlgorithm
+	slots     int
+	coldStart time.Duration
+	limit     float64
+	baseline  *ibislatency.Baseline
+	// latencies holds the distribution of each class's latencies; it is not kept with AlgorithmFixed.
+	latencies map[ibisid.ClassName]*ibislatency.Histogram
+	// told holds what other gates of the service have learnt; nil after the first baseline was discarded.
+	told            map[ibisid.ClassName]toldLatency
 	meanRatio       ibislatency.Mean
 	failureShare    ibislatency.Mean
 	streak          streak
+	run             slowRun
 	baselineSamples int
 	shrunkAt        time.Time
 	ramps           []ramp
@@ -63,6 +68,8 @@
 		coldStart: coldStart,
 		limit:     float64(slots),
 		baseline:  ibislatency.NewBaseline(),
+		latencies: make(map[ibisid.ClassName]*ibislatency.Histogram),
+		told:      make(map[ibisid.ClassName]toldLatency),
 		climb: hillClimb{
 			limit: slots,
 		},
@@ -110,6 +117,7 @@
 	l.meanRatio = ibislatency.Mean{}
 	l.failureShare = ibislatency.Mean{}
 	l.streak = streak{}
+	l.run = slowRun{}
 }
 
 // addSample records the end of a request that was admitted at the given time. It reports whether the limit fell to 1 because
@@ -130,8 +138,11 @@
 	l.meanRatio.Add(ratio, ratioWindow)
 	if !e.Failed {
 		l.recordLatency(class, e.Latency)
+		if l.algorithm != AlgorithmFixed {
+			l.recordRun(class, e.Latency)
+		}
 	}
-	if l.streak.showsCold() {
+	if l.streak.showsCold() || l.runShowsCold() {
 		l.resetBaselineAndRamp(now)
 		return true
 	}
@@ -153,11 +164,17 @@
 	return 0
 }
 
-// latencyRatio returns the latency as a multiple of the class's baseline; a failure counts as coldRatio.
+// latencyRatio returns the latency as a multiple of the class's baseline, or of the usual latency that other gates told during a
+// probe that was started by it; a failure counts as coldRatio.
 func (l *limiter) latencyRatio(class ibisid.ClassName, e FinishEvent) float64 {
 	if e.Failed {
 		return coldRatio
 	}
+	if l.probe != nil && l.probe.byTold {
+		if usual := l.stallLatency(class); usual > 0 {
+			return float64(e.Latency) / float64(usual)
+		}
+	}
 	return l.baseline.Ratio(class, e.Latency)
 }
 
--- a/internal/request/ibisadmit/stall.go
+++ b/internal/request/ibisadmit/stall.go
@@ -18,12 +18,13 @@
 // checkStall starts a probe when at least two requests, and at least half of the running ones, have waited for the head of
 // their answer far longer than usual. The age of running requests shows a slow server long before the first slow answer ends.
 func (g *Gate) checkStall(now time.Time) {
-	if g.limit.algorithm == AlgorithmFixed || g.limit.probe != nil || g.limit.baselineSamples < minBaselineSamples || g.limit.ramping(now) {
+	if g.limit.algorithm == AlgorithmFixed || g.limit.probe != nil || g.limit.ramping(now) {
 		return
 	}
 	stalled := 0
 	for _, r := range g.running {
-		if !r.headReceived && g.limit.baseline.Ratio(r.queue.name, now.Sub(r.admittedAt)) > stallRatio {
+		usual := g.limit.stallLatency(r.queue.name)
+		if !r.headReceived && usual > 0 && float64(now.Sub(r.admittedAt)) > stallRatio*float64(usual) {
 			stalled++
 		}
 	}
@@ -31,6 +32,7 @@
 		return
 	}
 	g.limit.startProbe(now)
+	g.limit.probe.byTold = g.limit.young()
 	g.handleSlowServer(now)
 }
 
--- a/internal/request/ibisadmit/streak.go
+++ b/internal/request/ibisadmit/streak.go
@@ -31,7 +31,7 @@
 
 // recordLatency adds the latency of an answer to the baseline, at once or when the streak that it belongs to has ended.
 func (l *limiter) recordLatency(class ibisid.ClassName, latency time.Duration) {
-	if l.algorithm != AlgorithmFixed && l.baselineSamples < minBaselineSamples && l.baseline.Ratio(class, latency) > streakRatio {
+	if l.algorithm != AlgorithmFixed && l.baselineSamples < minBaselineSamples && l.streakRatioOf(class, latency) > streakRatio {
 		l.streak.pending = append(l.streak.pending, pendingSample{
 			class:   class,
 			latency: latency,
@@ -50,10 +50,13 @@
 // showsCold reports whether the last streakLength answers were all far slower than usual.
 func (s *streak) showsCold() bool { return len(s.pending) >= streakLength }
 
-// resetBaselineAndRamp discards the baseline and starts a ramp. A few answers can't distinguish a cold server from one whose
-// first answers were faster than the rest; in both cases the answers after the ramp give the right baseline.
-func (l *limiter) resetBaselineAndRamp(now time.Time) {
+// resetBaselineAndRamp discards the baseline, and what other gates told, and starts a ramp from the given time. A few answers
+// can't distinguish a cold server from one whose first answers were faster than the rest, nor from one that is slower than those
+// of other gates; in each case the answers after the ramp give the right baseline.
+func (l *limiter) resetBaselineAndRamp(from time.Time) {
 	l.baseline = ibislatency.NewBaseline()
+	l.latencies = make(map[ibisid.ClassName]*ibislatency.Histogram)
 	l.baselineSamples = 0
-	l.startRamp(l.coldStart, now)
+	l.told = nil
+	l.startRamp(l.coldStart, from)
 }
--- a/internal/request/ibislatency/baseline.go
+++ b/internal/request/ibislatency/baseline.go
@@ -49,6 +49,14 @@
 	m.Add(float64(latency), window)
 }
 
+// Count returns the number of recorded latencies of the class.
+func (b *Baseline) Count(class ibisid.ClassName) int {
+	if m := b.classes[class]; m != nil {
+		return int(m.count)
+	}
+	return 0
+}
+
 // Typical returns the usual latency of the class, or zero if it is unknown.
 func (b *Baseline) Typical(class ibisid.ClassName) time.Duration {
 	if m := b.classes[class]; m != nil {
--- a/internal/request/ibislatency/histogram.go
+++ b/internal/request/ibislatency/histogram.go
@@ -49,6 +49,18 @@
 	return upperEdge(bucketCount - 1)
 }
 
+// ShareAbove returns the share of the samples above the latency, to the width of a bucket; zero before the first sample.
+func (h *Histogram) ShareAbove(latency time.Duration) float64 {
+	if h.total == 0 {
+		return 0
+	}
+	above := 0.0
+	for _, weight := range h.buckets[bucketIndex(latency)+1:] {
+		above += weight
+	}
+	return above / h.total
+}
+
 func (h *Histogram) halve() {
 	h.total = 0
 	h.sinceHalving = 0
