ibislease: the keys of a node that is heard and hears nothing are taken over in time

Cause: a witness renewed each heartbeat, though the holder could not learn of it, so nobody was suspected. Besides, a holder that heard no witness committed its row as direct; that took effect without its knowledge, after which a claimant has to watch the row for another term.

Change: a holder that has heard no answer of a witness for the validity of a renewal says in its heartbeat how long ago the latest answered one was sent, and from then on counts no acknowledgement of an earlier heartbeat. The witness answers without renewing and counts its term from that last answered heartbeat, less the drift. So it promises when it would have promised had the holder died. A holder that hears such an answer sends its next heartbeat at once, and that one is renewed. A row becomes direct only if the table has answered a read or a commit within the last heartbeat period.

Why it is safe: at the moment of the statement the holder is not valid through this witness, and all that it may still count later is either older than the stated heartbeat or sent after the statement. Heartbeats carry their time of sending, so that one that arrives late undoes nothing. A single lost answer changes nothing: the statement comes after 2.3 s, which is three heartbeats.

Versions: HeartbeatArgs gains Sent and Unheard, HeartbeatReply gains Unrenewed. A heartbeat without them is renewed as before; a witness of an earlier version ignores them and its acknowledgement counts.

--- a/examples/embed/member.go
+++ b/examples/embed/member.go
@@ -113,6 +113,7 @@
 				Holder:  e.Holder,
 				Witness: w.self,
 				Sent:    e.Sent,
+				Unheard: e.Unheard[to],
 			})
 		})
 	}
--- a/internal/measure/ibiscapacity/calls.go
+++ b/internal/measure/ibiscapacity/calls.go
@@ -100,6 +100,7 @@
 				return ibisowner.HeartbeatArgs{
 					Holder:  from,
 					Witness: n.manager.Self().Member,
+					Sent:    time.Hour,
 				}
 			},
 			reply: func() any { return &ibisowner.HeartbeatReply{} },
--- a/internal/node/ibisowner/call.go
+++ b/internal/node/ibisowner/call.go
@@ -19,6 +19,23 @@
 	Holder ibisid.Member
 	// Witness is the incarnation that is asked.
 	Witness ibisid.Member
+	// Sent is when the heartbeat was sent, on the holder's clock since its process started; zero from nodes that don't tell.
+	Sent time.Duration
+	// Unheard is the age of the latest heartbeat that the holder has heard an answer to, or zero while it hears the witness.
+	Unheard time.Duration
+}
+
+// event returns the heartbeat for the witness. Only the order of the times at which one holder sent its heartbeats matters.
+func (a HeartbeatArgs) event() ibislease.HeartbeatEvent {
+	e := ibislease.HeartbeatEvent{
+		Holder:  a.Holder,
+		Witness: a.Witness,
+	}
+	if a.Sent > 0 {
+		e.Sent = time.Unix(0, int64(a.Sent))
+		e.Unheard = a.Unheard
+	}
+	return e
 }
 
 // HeartbeatReply is the answer of a witness to a heartbeat.
@@ -27,6 +44,8 @@
 	Acknowledged bool
 	// Refused reports that the witness promised never to renew this incarnation's lease again.
 	Refused bool
+	// Unrenewed reports that the lease is not renewed because the holder did not hear the witness.
+	Unrenewed bool
 }
 
 // SuspectArgs reports members whose heartbeats stopped.
@@ -119,14 +138,12 @@
 		if !c.manager.mayWitness(now) {
 			return
 		}
-		effects := c.manager.witness.Update(ibislease.HeartbeatEvent{
-			Holder:  args.Holder,
-			Witness: args.Witness,
-		}, now)
+		effects := c.manager.witness.Update(args.event(), now)
 		for _, effect := range effects {
 			if ack, ok := effect.(ibislease.AckEffect); ok {
-				reply.Acknowledged = !ack.Refused
+				reply.Acknowledged = !ack.Refused && !ack.Unrenewed
 				reply.Refused = ack.Refused
+				reply.Unrenewed = ack.Unrenewed
 			}
 		}
 	})
--- a/internal/node/ibisowner/cluster_test.go
+++ b/internal/node/ibisowner/cluster_test.go
@@ -51,15 +51,17 @@
 // testNode is one manager and its dependencies; its timer stops while it is frozen.
 type testNode struct {
 	*Manager
-	cluster   *cluster
-	name      ibisid.NodeName
-	memory    *ibisidempotencydriver.Memory
-	rows      *ibisrowcache.Rows
-	domain    ibisadmit.DomainEvent
-	place     ibisid.Place
-	dead      bool
-	frozen    bool
-	cut       bool
+	cluster *cluster
+	name    ibisid.NodeName
+	memory  *ibisidempotencydriver.Memory
+	rows    *ibisrowcache.Rows
+	domain  ibisadmit.DomainEvent
+	place   ibisid.Place
+	dead    bool
+	frozen  bool
+	cut     bool
+	// deaf loses all messages and answers to the node, not those that it sends.
+	deaf      bool
 	partition int
 	pending   []func()
 	stop      func()
@@ -235,14 +237,15 @@
 	n.catchUp()
 }
 
-// reaches reports whether messages pass between two nodes. The table is reachable from partition zero only.
+// reaches reports whether messages pass from one node to another. The table is reachable from partition zero only.
 func (n *testNode) reaches(other *testNode) bool {
-	return !n.cut && !other.cut && n.partition == other.partition
+	return !n.cut && !other.cut && !other.deaf && n.partition == other.partition
 }
 
 // heal reconnects a node to the others and to the table.
 func (n *testNode) heal() {
 	n.cut = false
+	n.deaf = false
 	n.partition = 0
 	n.catchUp()
 }
@@ -320,14 +323,14 @@
 
 // Read, Scan and Commit implement ibisplatform.Table over the store; they fail while the node is cut off.
 func (n *testNode) Read(ctx context.Context, key string) (ibisplatform.Row, bool, error) {
-	if n.cut || n.partition > 0 {
+	if n.cut || n.deaf || n.partition > 0 {
 		return ibisplatform.Row{}, false, ibisplatform.ErrUnavailable
 	}
 	return n.cluster.store.Read(ctx, key)
 }
 
 func (n *testNode) Scan(ctx context.Context, prefix string) ([]ibisplatform.Row, error) {
-	if n.cut || n.partition > 0 {
+	if n.cut || n.deaf || n.partition > 0 {
 		return nil, ibisplatform.ErrUnavailable
 	}
 	return n.cluster.store.Scan(ctx, prefix)
@@ -337,11 +340,23 @@
 	if n.cut || n.partition > 0 {
 		return ibisplatform.CommitResult{}, ibisplatform.ErrUnavailable
 	}
-	return n.cluster.store.Commit(ctx, commit)
+	result, err := n.cluster.store.Commit(ctx, commit)
+	if n.deaf {
+		return ibisplatform.CommitResult{}, ibisplatform.ErrUnavailable
+	}
+	return result, err
 }
 
 // Call implements Caller within the cluster.
 func (n *testNode) Call(_ context.Context, address, method string, args, reply any) error {
+	err := n.callOther(address, method, args, reply)
+	if n.deaf {
+		return errCut
+	}
+	return err
+}
+
+func (n *testNode) callOther(address, method string, args, reply any) error {
 	to := n.cluster.find(ibisid.NodeName(address))
 	n.sent++
 	if to == nil || to.frozen || !n.reaches(to) {
--- a/internal/node/ibisowner/fault_test.go
+++ b/internal/node/ibisowner/fault_test.go
@@ -146,6 +146,20 @@
 		c.runUntil(10*time.Second, c.settled)
 	})
 
+	It("takes over from a node that is heard and hears nothing, which joins anew once it hears", func() {
+		c := newSettledCluster(8, 12, 4, true)
+		victim := c.nodes[2]
+		slot := victim.anyOwnedSlot()
+		victim.deaf = true
+		c.runUntil(takeoverTarget, func() bool {
+			owners := c.admitters(slot)
+			Expect(len(owners)).To(BeNumerically("<=", 1))
+			return len(owners) == 1 && owners[0] != victim
+		})
+		victim.heal()
+		c.runUntil(10*time.Second, c.settled)
+	})
+
 	It("takes over from a node whose witnesses died with it, and not while they still renew its lease", func() {
 		c := newSettledCluster(10, 12, 4, true)
 		holder := c.nodes[0]
--- a/internal/node/ibisowner/holder.go
+++ b/internal/node/ibisowner/holder.go
@@ -65,16 +65,19 @@
 			err := m.call(ctx, address, "Heartbeat", HeartbeatArgs{
 				Holder:  e.Holder,
 				Witness: w,
+				Sent:    e.Sent.Sub(m.started),
+				Unheard: e.Unheard[w],
 			}, &reply)
-			if err != nil || !reply.Acknowledged && !reply.Refused {
+			if err != nil || !reply.Acknowledged && !reply.Refused && !reply.Unrenewed {
 				return nil
 			}
 			return func(now time.Time) {
 				m.updateLeaseCore(holder, ibislease.AckEvent{
-					Witness: w,
-					Holder:  e.Holder,
-					Sent:    e.Sent,
-					Refused: reply.Refused,
+					Witness:   w,
+					Holder:    e.Holder,
+					Sent:      e.Sent,
+					Refused:   reply.Refused,
+					Unrenewed: reply.Unrenewed,
 				}, now)
 			}
 		})
--- a/internal/node/ibisowner/manager.go
+++ b/internal/node/ibisowner/manager.go
@@ -87,7 +87,9 @@
 	log          *zap.Logger
 	starter      Starter
 	witnessGrace time.Duration
-	ctx          atomic.Pointer[context.Context]
+	// started is the time from which the times in heartbeats count.
+	started time.Time
+	ctx     atomic.Pointer[context.Context]
 
 	lease            *leaseClock
 	routes           *routes
@@ -178,6 +180,7 @@
 		log:           dependencies.Log,
 		starter:       newWorkers(),
 		witnessGrace:  defaultWitnessGrace,
+		started:       now,
 		lease:         newLeaseClock(now),
 		routes:        newRoutes(),
 		hints:         newHints(),
--- a/internal/ownership/ibislease/bench_test.go
+++ b/internal/ownership/ibislease/bench_test.go
@@ -30,11 +30,13 @@
 	before := heapBytes()
 	w := NewWitness(DefaultTerms(), self, now)
 	w.maxWatched = 2 * n
+	sent := now
 	sendHeartbeat := func(i int) {
+		sent = sent.Add(DefaultHeartbeat)
 		w.Update(HeartbeatEvent{
 			Holder:  members[i%n],
 			Witness: self,
-			Sent:    now,
+			Sent:    sent,
 		}, now)
 	}
 	for i := range n {
--- a/internal/ownership/ibislease/effect.go
+++ b/internal/ownership/ibislease/effect.go
@@ -18,6 +18,9 @@
 	Witnesses []ibisid.Member
 	// Sent is the holder's local time; the acknowledgement returns it.
 	Sent time.Time
+	// Unheard has an entry for each witness whose answers no longer arrive: the age of the latest heartbeat whose answer the holder
+	// heard. The holder counts no other acknowledgement of a heartbeat that it sent before this one.
+	Unheard map[ibisid.Member]time.Duration
 }
 
 // AckEffect sends the acknowledgement of a heartbeat to its holder.
@@ -30,6 +33,8 @@
 	Sent time.Time
 	// Refused reports that the witness promised never to renew the incarnation again.
 	Refused bool
+	// Unrenewed reports that the witness answers without renewing the lease, so that a holder that hears again can say so.
+	Unrenewed bool
 }
 
 // CommitEffect sends a commit to the table; the caller reports its result by a CommitResultEvent or CommitUnknownEvent.
--- a/internal/ownership/ibislease/event.go
+++ b/internal/ownership/ibislease/event.go
@@ -40,6 +40,8 @@
 	Sent time.Time
 	// Refused reports that the witness promised never to renew the incarnation again.
 	Refused bool
+	// Unrenewed reports that the witness answered without renewing the lease.
+	Unrenewed bool
 }
 
 // CommitResultEvent reports the table's answer to a commit.
@@ -72,6 +74,8 @@
 	Witness ibisid.Member
 	// Sent is the holder's local time at which it sent the heartbeat.
 	Sent time.Time
+	// Unheard is that of the HeartbeatEffect for this witness. It must not be passed on without Sent, which orders heartbeats.
+	Unheard time.Duration
 }
 
 // PromiseRequestEvent asks a witness for promises never to renew the leases of the members again.
--- a/internal/ownership/ibislease/explore_test.go
+++ b/internal/ownership/ibislease/explore_test.go
@@ -107,13 +107,14 @@
 		Entry("commits of unknown outcome", mutateIgnorePending, 0),
 		Entry("the wait before a direct row expires", mutateNoDirectWait, 0),
 		Entry("the condition on the deaths row", mutateIgnoreDeaths, 0),
+		Entry("void acknowledgements", mutateCountVoid, 0),
 	)
 
-	It("is taken over within the bound when only the holder fails", func() {
+	DescribeTable("is taken over within the bound when only the holder fails", func(deaf bool) {
 		var took []time.Duration
 		for seed := range uint64(500) {
 			s := newSimulation(seed, mutateNothing, false)
-			s.planKill(3*time.Second + time.Duration(seed)*time.Millisecond)
+			s.planLoss(3*time.Second+time.Duration(seed)*time.Millisecond, deaf)
 			Expect(s.run()).To(BeEmpty())
 			Expect(s.takeoverTime).To(BeNumerically(">", 0))
 			took = append(took, s.takeoverTime)
@@ -121,5 +122,8 @@
 		slices.Sort(took)
 		AddReportEntry("takeover", fmt.Sprintf("p50 %v max %v", took[len(took)/2], took[len(took)-1]))
 		Expect(took[len(took)-1]).To(BeNumerically("<=", maxTakeover))
-	})
+	},
+		Entry("by its death", false),
+		Entry("by hearing nothing while it is heard", true),
+	)
 })
--- a/internal/ownership/ibislease/holder.go
+++ b/internal/ownership/ibislease/holder.go
@@ -39,13 +39,19 @@
 	ackedSent map[ibisid.Member]time.Time
 	// probedSince holds, for each witness, the time of the first heartbeat to it.
 	probedSince map[ibisid.Member]time.Time
+	// heardSent holds, for each witness, the time at which the latest heartbeat was sent whose answer arrived, whatever it was.
+	heardSent map[ibisid.Member]time.Time
+	// countedFrom holds, for each witness, the time before which no heartbeat was sent whose acknowledgement still counts on arrival.
+	countedFrom map[ibisid.Member]time.Time
 	// refused are the witnesses that promised never to renew this incarnation again.
 	refused ibisset.Set[ibisid.Member]
 	phase   phase
 	valid   bool
 
-	commits       uint64
-	reads         uint64
+	commits uint64
+	reads   uint64
+	// tableHeardAt is the time of the latest answer of the table to the latest read or commit.
+	tableHeardAt  time.Time
 	nextHeartbeat time.Time
 	nextCommit    time.Time
 	nextRead      time.Time
@@ -71,6 +77,8 @@
 		deathsKey:   DeathsKey(row.Place.Domain, row.Member.Name),
 		ackedSent:   make(map[ibisid.Member]time.Time),
 		probedSince: make(map[ibisid.Member]time.Time),
+		heardSent:   make(map[ibisid.Member]time.Time),
+		countedFrom: make(map[ibisid.Member]time.Time),
 		refused:     ibisset.Of[ibisid.Member](),
 	}
 }
@@ -100,7 +108,7 @@
 		h.desired.Announcement = e.Announcement
 		h.desired.State = e.State
 	case AckEvent:
-		h.handleAck(e)
+		h.handleAck(e, now)
 	case CommitResultEvent:
 		effects = h.handleCommitResult(e, now)
 	case CommitUnknownEvent:
@@ -183,18 +191,32 @@
 	h.refused = refused
 }
 
-func (h *Holder) handleAck(e AckEvent) {
+// handleAck applies the answer of a witness. To one that doesn't renew, the next tick answers that it was heard.
+func (h *Holder) handleAck(e AckEvent, now time.Time) {
 	if e.Holder != h.Self() {
 		return
 	}
 	if _, known := h.probedSince[e.Witness]; !known {
 		return
 	}
+	heard := e.Sent.After(h.heardSent[e.Witness])
+	if heard {
+		h.heardSent[e.Witness] = e.Sent
+	}
 	if e.Refused {
 		h.refused.Add(e.Witness)
 		delete(h.ackedSent, e.Witness)
 		return
 	}
+	if e.Unrenewed {
+		if heard {
+			h.nextHeartbeat = now
+		}
+		return
+	}
+	if e.Sent.Before(h.countedFrom[e.Witness]) && h.terms.mutation != mutateCountVoid {
+		return
+	}
 	if e.Sent.After(h.ackedSent[e.Witness]) {
 		h.ackedSent[e.Witness] = e.Sent
 	}
@@ -235,21 +257,49 @@
 		Holder:    h.Self(),
 		Witnesses: to,
 		Sent:      now,
+		Unheard:   h.voidUnheard(to, now),
 	}}
 }
 
+// voidUnheard returns the witnesses that the holder has not heard for so long that none of their acknowledgements is valid any
+// more, with the time since the last one. From now on it counts no acknowledgement of an earlier heartbeat, so that the
+// witness may wait a term from that one.
+func (h *Holder) voidUnheard(to []ibisid.Member, now time.Time) map[ibisid.Member]time.Duration {
+	var unheard map[ibisid.Member]time.Duration
+	for _, w := range to {
+		heard, ever := h.heardSent[w]
+		if !ever || now.Sub(heard) < h.terms.Validity() {
+			continue
+		}
+		if unheard == nil {
+			unheard = make(map[ibisid.Member]time.Duration)
+		}
+		unheard[w] = now.Sub(heard)
+		h.countedFrom[w] = now
+	}
+	return unheard
+}
+
 // updateProbes records the time of the first heartbeat to each of the witnesses in use. It drops other witnesses that were first
 // probed more than probeRetentionTerms terms ago, which bounds the memory.
 func (h *Holder) updateProbes(to []ibisid.Member, now time.Time) {
 	for _, w := range to {
 		if _, known := h.probedSince[w]; !known {
 			h.probedSince[w] = now
+			h.countedFrom[w] = now
 		}
 	}
 	for w, since := range h.probedSince {
 		if !slices.Contains(to, w) && now.Sub(since) > probeRetentionTerms*h.terms.Term {
-			delete(h.probedSince, w)
-			delete(h.ackedSent, w)
+			h.forget(w)
 		}
 	}
 }
+
+// forget drops what the holder knows of a witness that its rows don't name.
+func (h *Holder) forget(w ibisid.Member) {
+	delete(h.probedSince, w)
+	delete(h.ackedSent, w)
+	delete(h.heardSent, w)
+	delete(h.countedFrom, w)
+}
--- a/internal/ownership/ibislease/holder_commit.go
+++ b/internal/ownership/ibislease/holder_commit.go
@@ -72,6 +72,7 @@
 	if h.pending == nil || h.pending.commit.ID != e.ID {
 		return nil
 	}
+	h.tableHeardAt = now
 	if e.Result.Status != ibisplatform.CommitApplied {
 		return h.readRows(now)
 	}
--- a/internal/ownership/ibislease/holder_read.go
+++ b/internal/ownership/ibislease/holder_read.go
@@ -12,6 +12,9 @@
 //
 // Ignoring a row is safe: a commit names the versions that it relies on, so it can't take effect after a change of the row.
 func (h *Holder) handleRows(e ReadEvent, now time.Time) []Effect {
+	if e.Sequence != 0 && e.Sequence == h.reads {
+		h.tableHeardAt = now
+	}
 	readEffects, dead := h.handleDeathsRow(e, now)
 	if dead {
 		return h.endIncarnation(h.Self().Incarnation)
@@ -119,7 +122,7 @@
 	}
 	row.Witnesses = nil
 	row.Direct = true
-	return append(effects, h.commit(row, now)...)
+	return append(effects, h.commitDirect(row, now)...)
 }
 
 // checkPrevious allows the first commit once no previous incarnation of the node can be valid, and otherwise reports the previous
@@ -137,7 +140,9 @@
 	case previous.State != StateLeft && !e.listsDead(previous):
 		return []Effect{SuspectEffect{Members: []ibisid.Member{previous.Member}}}
 	}
-	h.joinAllowedAt = now
+	if h.joinAllowedAt.IsZero() {
+		h.joinAllowedAt = now
+	}
 	return nil
 }
 
--- a/internal/ownership/ibislease/holder_witness.go
+++ b/internal/ownership/ibislease/holder_witness.go
@@ -79,8 +79,7 @@
 		named := slices.Contains(h.committed.Witnesses, w)
 		named = named || h.pending != nil && slices.Contains(h.pending.row.Witnesses, w)
 		if !named && h.isUnresponsive(w, now) {
-			delete(h.probedSince, w)
-			delete(h.ackedSent, w)
+			h.forget(w)
 		}
 	}
 }
@@ -107,11 +106,24 @@
 	if h.committed.Direct || h.countFresh(h.committed.Witnesses, now) < WitnessCount-1 {
 		next.Witnesses = nil
 		next.Direct = true
-		return h.commit(next, now)
+		return h.commitDirect(next, now)
 	}
 	return h.commitIf(changed, next, now)
 }
 
+// commitDirect commits a direct row once the table has answered a moment ago. The commit of a holder that hears neither its witnesses
+// nor the table would take effect all the same and make a takeover wait for another term.
+func (h *Holder) commitDirect(next Row, now time.Time) []Effect {
+	answered := !h.tableHeardAt.IsZero() && now.Sub(h.tableHeardAt) < h.terms.Heartbeat
+	if h.committed.Direct || answered {
+		return h.commit(next, now)
+	}
+	if now.Before(h.nextRead) {
+		return nil
+	}
+	return h.readRows(now)
+}
+
 // mayReplace reports whether a lost witness may be replaced now: at once if fewer than two others renew the lease, otherwise
 // after a delay that differs from holder to holder.
 func (h *Holder) mayReplace(now time.Time) bool {
--- a/internal/ownership/ibislease/simulation_fault_test.go
+++ b/internal/ownership/ibislease/simulation_fault_test.go
@@ -19,15 +19,18 @@
 	}
 	s.runToEnd = s.rng.IntN(32) == 0
 	if s.rng.IntN(3) == 0 {
-		s.planKill(earliestKill + time.Duration(s.rng.Int64N(int64(s.healAt-earliestKill))))
+		at := earliestKill + time.Duration(s.rng.Int64N(int64(s.healAt-earliestKill)))
+		s.planLoss(at, s.rng.IntN(3) == 0)
 	}
 }
 
-func (s *simulation) planKill(at time.Duration) {
+// planLoss kills the holder, or makes it deaf for good.
+func (s *simulation) planLoss(at time.Duration, deaf bool) {
 	s.killedAt = at
 	s.after(at, tableID, kindFault, func() {
 		p := s.rowHolder()
-		p.killed = true
+		p.killed = !deaf
+		p.deaf = deaf
 		s.killedMember = p.member
 	})
 }
@@ -55,7 +58,7 @@
 
 func (s *simulation) fault() {
 	h := s.holders[0]
-	switch s.rng.IntN(24) {
+	switch s.rng.IntN(28) {
 	case 0, 1, 11, 12:
 		p := s.processes[s.rng.IntN(len(s.processes))]
 		s.freeze(p)
@@ -85,6 +88,13 @@
 		s.recordUnrelatedDeath()
 	case 10:
 		s.after(0, h.id, kindFault, func() { s.update(h, AnnounceEvent{State: StateLeft}) })
+	case 23, 24:
+		h.stalledUntil = min(s.now+time.Duration(s.rng.Int64N(int64(longestStall))), s.healAt)
+	case 25:
+		s.deafen(h)
+	case 26:
+		s.deafen(h)
+		s.cut(tableID, h.id)
 	default:
 		s.reportFalseSuspect()
 	}
@@ -108,6 +118,13 @@
 	s.after(time.Duration(s.rng.Int64N(int64(longestCut))), tableID, kindFault, toggle)
 }
 
+// deafen cuts the links from all witnesses to a process.
+func (s *simulation) deafen(p *process) {
+	for _, witness := range s.witnesses {
+		s.cut(witness.id, p.id)
+	}
+}
+
 func (s *simulation) reportFalseSuspect() {
 	c := s.claimants[s.rng.IntN(len(s.claimants))]
 	s.update(c, SuspectEvent{Members: []ibisid.Member{s.holders[0].member}})
--- a/internal/ownership/ibislease/simulation_network_test.go
+++ b/internal/ownership/ibislease/simulation_network_test.go
@@ -17,6 +17,13 @@
 
 // send drops the message, or delivers it once or twice, each time after a random delay.
 func (s *simulation) send(from, to int, kind uint8, run func()) {
+	var stall time.Duration
+	if to != tableID {
+		if s.processes[to].deaf {
+			return
+		}
+		stall = s.processes[to].stalledUntil - s.now
+	}
 	copies := 1
 	if !s.healed() {
 		if s.cuts[[2]int{from, to}] || s.rng.Float64() < s.lossRate {
@@ -27,7 +34,7 @@
 		}
 	}
 	for range copies {
-		s.after(s.delay(), to, kind, run)
+		s.after(max(s.delay(), stall), to, kind, run)
 	}
 }
 
@@ -54,6 +61,7 @@
 				Holder:  e.Holder,
 				Witness: m,
 				Sent:    e.Sent,
+				Unheard: e.Unheard[m],
 			})
 		}
 	case AckEffect:
--- a/internal/ownership/ibislease/simulation_test.go
+++ b/internal/ownership/ibislease/simulation_test.go
@@ -17,6 +17,7 @@
 	// joinWithoutFaults is the time before the first fault in three of four schedules with faults.
 	joinWithoutFaults = 1300 * time.Millisecond
 	longestCut        = 5 * time.Second
+	longestStall      = 4 * time.Second
 	// runAfterHeal is how long a schedule continues after the end of the faults.
 	runAfterHeal = 8 * time.Second
 	coarseTick   = 400 * time.Millisecond
@@ -37,11 +38,15 @@
 	rate        float64
 	offset      time.Duration
 	frozenUntil time.Duration
-	killed      bool
-	holder      *Holder
-	witness     *Witness
-	claimant    *Claimant
-	member      ibisid.Member
+	// stalledUntil is the time before which no message arrives at the process; they arrive then.
+	stalledUntil time.Duration
+	killed       bool
+	// deaf is set for a holder that nothing reaches any more, though its own messages arrive.
+	deaf     bool
+	holder   *Holder
+	witness  *Witness
+	claimant *Claimant
+	member   ibisid.Member
 	// token is the token of the page under which a holder processes orders, zero before its first assignment is
 	// acknowledged.
 	token ibisid.Token
@@ -414,7 +419,7 @@
 // valid, and through witnesses if enough of them have not promised it dead.
 func (s *simulation) checkRecovery() {
 	for _, p := range s.holders {
-		if !s.runToEnd || p.killed || p.holder == nil || p.joined == 0 || p.joined > s.endAt()-maxRecovery {
+		if !s.runToEnd || p.killed || p.deaf || p.holder == nil || p.joined == 0 || p.joined > s.endAt()-maxRecovery {
 			continue
 		}
 		row, hasJoined := p.holder.Row()
--- a/internal/ownership/ibislease/terms.go
+++ b/internal/ownership/ibislease/terms.go
@@ -59,7 +59,12 @@
 // Validity returns how long a renewal is valid, on the holder's clock and from when the holder sent it. It is shorter than
 // the term by the greatest difference of two clocks' rates and by the guard.
 func (t Terms) Validity() time.Duration {
-	return time.Duration(float64(t.Term)*(1-t.Drift)/(1+t.Drift)) - t.Guard
+	return t.leastElapsed(t.Term) - t.Guard
+}
+
+// leastElapsed returns the least time that passes on one clock while d passes on another.
+func (t Terms) leastElapsed(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - t.Drift) / (1 + t.Drift))
 }
 
 // TakeoverWait returns the wait between the commit of a death and the first order under a new owner.
@@ -95,4 +100,8 @@
 	mutateIgnoreDeaths
 	// mutateDropPendingEarly lets a holder drop a pending commit without a later read that shows whether it took effect.
 	mutateDropPendingEarly
+	// mutateCountVoid makes a holder count acknowledgements that it told the witness it would not count.
+	mutateCountVoid
+	// mutateIgnoreOrder makes a witness act on a heartbeat that arrives after one that was sent later.
+	mutateIgnoreOrder
 )
--- a/internal/ownership/ibislease/witness.go
+++ b/internal/ownership/ibislease/witness.go
@@ -10,7 +10,7 @@
 const (
 	// MaxWatched is the greatest number of members that a witness has in memory.
 	MaxWatched = 4096
-	// suspectReportDuration is the time after a member's last heartbeat at which a witness stops reporting it as a suspect.
+	// suspectReportDuration is the time after a member's last renewal at which a witness stops reporting it as a suspect.
 	suspectReportDuration = 10 * time.Minute
 )
 
@@ -29,9 +29,15 @@
 
 // watchedMember is a witness's state of one member; dead is set once the table lists the member as dead.
 type watchedMember struct {
-	lastHeartbeat time.Time
-	promised      bool
-	dead          bool
+	// renewedAt is the time from which the witness waits a term before a promise: no earlier than the holder sent the latest
+	// heartbeat whose acknowledgement may count.
+	renewedAt time.Time
+	// newestSent is the latest time at which the holder sent a heartbeat that arrived.
+	newestSent time.Time
+	// unheard reports that by that heartbeat the holder doesn't hear the witness.
+	unheard  bool
+	promised bool
+	dead     bool
 }
 
 // NewWitness returns a witness without memory of earlier heartbeats; it promises nothing before a term has passed.
@@ -80,16 +86,41 @@
 		return nil
 	}
 	if !entry.promised {
-		entry.lastHeartbeat = now
+		w.renew(entry, e, now)
 	}
 	return []Effect{AckEffect{
-		Witness: w.self,
-		Holder:  e.Holder,
-		Sent:    e.Sent,
-		Refused: entry.promised,
+		Witness:   w.self,
+		Holder:    e.Holder,
+		Sent:      e.Sent,
+		Refused:   entry.promised,
+		Unrenewed: !entry.promised && entry.unheard,
 	}}
 }
 
+// renew renews the lease unless the holder doesn't hear the witness. A heartbeat that arrives after one that was sent later is
+// treated like that one, since the acknowledgement of the later one outlasts its own.
+func (w *Witness) renew(entry *watchedMember, e HeartbeatEvent, now time.Time) {
+	late := !e.Sent.IsZero() && !e.Sent.After(entry.newestSent) && w.terms.mutation != mutateIgnoreOrder
+	if !late {
+		entry.newestSent = e.Sent
+		entry.unheard = e.Unheard > 0
+	}
+	if !entry.unheard {
+		entry.renewedAt = now
+		return
+	}
+	if late {
+		return
+	}
+	heardAt := now.Add(-w.terms.leastElapsed(e.Unheard))
+	if heardAt.Before(w.started) {
+		heardAt = w.started
+	}
+	if heardAt.Before(entry.renewedAt) {
+		entry.renewedAt = heardAt
+	}
+}
+
 // watch returns the state of a member and adds it if there is room. It returns nil for a member that the witness may have
 // promised and evicted, and where there is no room.
 func (w *Witness) watch(m ibisid.Member, now time.Time) *watchedMember {
@@ -102,16 +133,16 @@
 	if len(w.watched) >= w.maxWatched || m.Incarnation <= w.maxEvicted {
 		return nil
 	}
-	entry := &watchedMember{lastHeartbeat: w.started}
+	entry := &watchedMember{renewedAt: w.started}
 	w.watched[m] = entry
 	return entry
 }
 
-// evictLapsed drops every member without a heartbeat for a term and raises maxEvicted. A member that is not in memory is then
+// evictLapsed drops every member that was not renewed for a term and raises maxEvicted. A member that is not in memory is then
 // not renewed unless its incarnation is greater than maxEvicted, since the witness may have promised an evicted one.
 func (w *Witness) evictLapsed(now time.Time) {
 	for m, entry := range w.watched {
-		if now.Sub(entry.lastHeartbeat) < w.terms.Term {
+		if now.Sub(entry.renewedAt) < w.terms.Term {
 			continue
 		}
 		w.maxEvicted = max(w.maxEvicted, m.Incarnation)
@@ -139,14 +170,14 @@
 }
 
 // promise reports whether the witness never renews the member's lease again, and marks the member as promised if a term has
-// passed since its last heartbeat. A member that may have been evicted counts as promised once a term has passed since the start
+// passed since its last renewal. A member that may have been evicted counts as promised once a term has passed since the start
 // of the witness, which ignores its heartbeats.
 func (w *Witness) promise(m ibisid.Member, now time.Time) bool {
 	entry := w.watch(m, now)
 	if entry == nil {
 		return m.Incarnation <= w.maxEvicted && w.termElapsed(w.started, now)
 	}
-	if !entry.promised && !w.termElapsed(entry.lastHeartbeat, now) {
+	if !entry.promised && !w.termElapsed(entry.renewedAt, now) {
 		return false
 	}
 	entry.promised = true
@@ -163,8 +194,8 @@
 	}
 	var suspects []ibisid.Member
 	for m, entry := range w.watched {
-		sinceHeartbeat := now.Sub(entry.lastHeartbeat)
-		if entry.dead || sinceHeartbeat < w.terms.Term || sinceHeartbeat > suspectReportDuration {
+		sinceRenewal := now.Sub(entry.renewedAt)
+		if entry.dead || sinceRenewal < w.terms.Term || sinceRenewal > suspectReportDuration {
 			continue
 		}
 		suspects = append(suspects, m)
