--- a/internal/ownership/ibislease/unheard_test.go
+++ b/internal/ownership/ibislease/unheard_test.go
@@ -161,6 +161,14 @@
 		Entry("it does without the rule", mutateCountVoid, true),
 	)
 
+	It("is not valid by answers that don't renew", func() {
+		t := newTrio(mutateNothing)
+		t.run(8 * time.Second)
+		t.lost = func(e AckEvent) bool { return !e.Unrenewed }
+		t.run(DefaultTerm)
+		Expect(t.run(8 * time.Second)).To(BeZero())
+	})
+
 	It("counts no void acknowledgement after it forgot the witness and tries it again", func() {
 		t := newTrio(mutateNothing)
 		t.run(8 * time.Second)
