--- a/admission.go
+++ b/admission.go
@@ -25,7 +25,7 @@
 	GateReason = ibisadmit.Reason
 	// GateTypicalLatency is what a gate has learnt of the time to the head of one class's answers.
 	GateTypicalLatency = ibisadmit.TypicalLatency
-	// GateReport is the typical latency of a class as another gate of the service tells it.
+	// GateReport is the typical latency of a class as another gate of the service reports it.
 	GateReport = ibisadmit.Report
 )
 
--- a/internal/measure/ibiscell/gate.go
+++ b/internal/measure/ibiscell/gate.go
@@ -71,12 +71,12 @@
 // Load returns the load that routers see.
 func (g *gate) Load() float64 { return g.core.Load(g.node.Now()) }
 
-// TellTypical returns what other nodes should hear of the class now.
-func (g *gate) TellTypical(class ibisid.ClassName) (ibisadmit.TypicalLatency, bool) {
-	return g.core.TellTypical(class, g.node.Now())
+// ReportTypical returns what other nodes should hear of the class now.
+func (g *gate) ReportTypical(class ibisid.ClassName) (ibisadmit.TypicalLatency, bool) {
+	return g.core.ReportTypical(class, g.node.Now())
 }
 
-// LearnTypical takes in what another node told of the class.
+// LearnTypical takes in what another node reported of the class.
 func (g *gate) LearnTypical(class ibisid.ClassName, report ibisadmit.Report) {
 	g.update(ibisadmit.BaselineEvent{
 		Class:  class,
@@ -84,9 +84,9 @@
 	})
 }
 
-// tell returns what the entry node's side of the router tells with a request.
-func (g *gate) tell(class ibisid.ClassName) string {
-	typical, ok := g.TellTypical(class)
+// report returns what the entry node's side of the router reports with a request.
+func (g *gate) report(class ibisid.ClassName) string {
+	typical, ok := g.ReportTypical(class)
 	if !ok {
 		return ""
 	}
@@ -97,8 +97,8 @@
 }
 
 // learn takes in what an answer tells.
-func (g *gate) learn(class ibisid.ClassName, told string) {
-	if report, err := ibisadmit.ParseReport(told); err == nil {
+func (g *gate) learn(class ibisid.ClassName, reported string) {
+	if report, err := ibisadmit.ParseReport(reported); err == nil {
 		g.LearnTypical(class, report)
 	}
 }
--- a/internal/measure/ibiscell/mutation_test.go
+++ b/internal/measure/ibiscell/mutation_test.go
@@ -113,7 +113,7 @@
 		Entry("cold start ignored", matrix("--flow", "hedge", "--fault", "restart"), "coldBears", edit{
 			"internal/request/ibisadmit/gate.go", "if config.StartCold {", "if config.StartCold && config.Slots < 0 {",
 		}),
-		Entry("what other gates told ignored", matrix("--flow", "move", "--fault", "serverCold"), "coldBears", edit{
+		Entry("what other gates reported ignored", matrix("--flow", "move", "--fault", "serverCold"), "coldBears", edit{
 			"internal/request/ibisadmit/gate.go", "g.limit.learn(e)", "_ = e",
 		}),
 		Entry("runs of slow answers ignored", matrix("--flow", "takeOverUnfenced", "--fault", "serverCold"), "coldBears", edit{
--- a/internal/measure/ibiscell/order.go
+++ b/internal/measure/ibiscell/order.go
@@ -352,17 +352,17 @@
 	p.node.After(remaining+answerGrace, func(time.Time) { once(final{outcome: ibisid.OutcomeUnknown}, ibisid.Member{}) })
 	typical := ""
 	if target != p.node {
-		typical = p.node.gate.tell(pursuit.class)
+		typical = p.node.gate.report(pursuit.class)
 	}
 	serve := func() {
-		target.serve(pursuit.sent.order, role, attempt, typical, remaining, func(f final, hint ibisid.Member, told string) {
+		target.serve(pursuit.sent.order, role, attempt, typical, remaining, func(f final, hint ibisid.Member, reported string) {
 			w.points("answered", target)
 			if target == p.node {
 				once(f, hint)
 				return
 			}
 			w.sendOnce(target, p.node, func() {
-				p.node.gate.learn(pursuit.class, told)
+				p.node.gate.learn(pursuit.class, reported)
 				once(f, hint)
 			})
 		})
@@ -375,7 +375,7 @@
 }
 
 // serve runs the node's own handler of forwarded requests.
-func (n *node) serve(o *order, role, attempt, typical string, remaining time.Duration, answer func(f final, hint ibisid.Member, told string)) {
+func (n *node) serve(o *order, role, attempt, typical string, remaining time.Duration, answer func(f final, hint ibisid.Member, reported string)) {
 	n.world.points("arrived", n)
 	request := &http.Request{
 		Method: o.method,
--- a/internal/node/ibisgate/gate.go
+++ b/internal/node/ibisgate/gate.go
@@ -65,17 +65,17 @@
 	return g.core.Load(g.timer.Now())
 }
 
-// TellTypical returns the typical latency of the class if other nodes of the service should hear of it now.
-func (g *Gate) TellTypical(class ibisid.ClassName) (ibisadmit.TypicalLatency, bool) {
+// ReportTypical returns the typical latency of the class if other nodes of the service should hear of it now.
+func (g *Gate) ReportTypical(class ibisid.ClassName) (ibisadmit.TypicalLatency, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.core == nil {
 		return ibisadmit.TypicalLatency{}, false
 	}
-	return g.core.TellTypical(class, g.timer.Now())
+	return g.core.ReportTypical(class, g.timer.Now())
 }
 
-// LearnTypical passes on what another node of the service told of the class.
+// LearnTypical passes on what another node of the service reported of the class.
 func (g *Gate) LearnTypical(class ibisid.ClassName, report ibisadmit.Report) {
 	g.update(ibisadmit.BaselineEvent{
 		Class:  class,
--- a/internal/node/ibisnode/singlenode_test.go
+++ b/internal/node/ibisnode/singlenode_test.go
@@ -197,8 +197,8 @@
 // Load returns zero.
 func (n *singleNode) Load() float64 { return 0 }
 
-// TellTypical tells nothing.
-func (n *singleNode) TellTypical(ibisid.ClassName) (ibisadmit.TypicalLatency, bool) {
+// ReportTypical tells nothing.
+func (n *singleNode) ReportTypical(ibisid.ClassName) (ibisadmit.TypicalLatency, bool) {
 	return ibisadmit.TypicalLatency{}, false
 }
 
--- a/internal/node/ibisrequestrouter/fleet_test.go
+++ b/internal/node/ibisrequestrouter/fleet_test.go
@@ -108,7 +108,7 @@
 	mu    sync.Mutex
 	runs  map[string]int
 	total int
-	// learned lists what other nodes told this node of the latency of a class.
+	// learned lists what other nodes reported this node of the latency of a class.
 	learned []ibisadmit.Report
 	peers   *ibismember.Forwarder
 }
@@ -190,7 +190,7 @@
 	g.Gate.LearnTypical(class, report)
 }
 
-// tellers returns the names of the nodes that told this node of a latency.
+// tellers returns the names of the nodes that reported this node of a latency.
 func (n *node) tellers() []ibisid.NodeName {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/ibisrequestrouter/forward.go
+++ b/internal/node/ibisrequestrouter/forward.go
@@ -54,7 +54,7 @@
 		headerRole:                []string{string(next)},
 		ibiscaller.HeaderDeadline: []string{remaining.String()},
 	}
-	rt.tellTypical(q, request.NodeHeader)
+	rt.reportTypical(q, request.NodeHeader)
 	request.Deadline = q.deadline.Add(answerGrace)
 	sent := rt.peers.Send(ctx, to.Address, request)
 	if sent.Answer == nil {
--- a/internal/node/ibisrequestrouter/router.go
+++ b/internal/node/ibisrequestrouter/router.go
@@ -57,9 +57,9 @@
 	Send(ctx context.Context, info ibisgate.RequestInfo, request ibisbackend.Request) ibisbackend.Result
 	// Load returns the number of running and waiting requests divided by the concurrency limit.
 	Load() float64
-	// TellTypical returns the typical latency of the class if other nodes of the service should hear of it now.
-	TellTypical(class ibisid.ClassName) (ibisadmit.TypicalLatency, bool)
-	// LearnTypical takes in what another node of the service told of the class.
+	// ReportTypical returns the typical latency of the class if other nodes of the service should hear of it now.
+	ReportTypical(class ibisid.ClassName) (ibisadmit.TypicalLatency, bool)
+	// LearnTypical takes in what another node of the service reported of the class.
 	LearnTypical(class ibisid.ClassName, report ibisadmit.Report)
 }
 
@@ -177,7 +177,7 @@
 		rt.requestMetrics.observeRequest(q, outcome, rt.timer.Now().Sub(start))
 	} else {
 		w.Header().Set(headerLoad, formatLoad(rt.gate.Load()))
-		rt.tellTypical(q, w.Header())
+		rt.reportTypical(q, w.Header())
 	}
 	rt.write(w, outcome)
 }
--- a/internal/node/ibisrequestrouter/typical_test.go
+++ b/internal/node/ibisrequestrouter/typical_test.go
@@ -18,7 +18,7 @@
 		return r
 	}
 
-	It("is told to the gates of other nodes with answers and forwarded requests, and to nobody else", func() {
+	It("is reported to the gates of other nodes with answers and forwarded requests, and to nobody else", func() {
 		f := newFleet(keyed, 2)
 		owner, entry := f.nodes[0], f.nodes[1]
 		var leaks atomic.Int64
@@ -42,11 +42,11 @@
 		Expect(leaks.Load()).To(BeZero())
 	})
 
-	It("is not needed: nodes that tell nothing, or nothing that can be read, are served as before", func() {
+	It("is not needed: nodes that report nothing, or nothing that can be read, are served as before", func() {
 		f := newFleet(keyed, 2)
-		for _, told := range []string{"", "n1", "n1 1ms 1ms 0.5 -1"} {
+		for _, reported := range []string{"", "n1", "n1 1ms 1ms 0.5 -1"} {
 			change := func(peerHandler http.Handler, w http.ResponseWriter, r *http.Request) {
-				r.Header.Set(ibisbackend.HeaderTypical, told)
+				r.Header.Set(ibisbackend.HeaderTypical, reported)
 				peerHandler.ServeHTTP(w, r)
 			}
 			f.nodes[0].onPeer.Store(&change)
@@ -55,7 +55,7 @@
 		Expect(f.nodes[0].tellers()).To(BeEmpty())
 	})
 
-	It("is not told to the gate of another service, which may have classes of the same name", func() {
+	It("is not reported to the gate of another service, which may have classes of the same name", func() {
 		f := newFleet(keyed, 1)
 		other := f.start(unkeyed, 1)
 		f.nodes = append(f.nodes, other)
--- a/internal/request/ibisadmit/doc.go
+++ b/internal/request/ibisadmit/doc.go
@@ -16,5 +16,5 @@
 // the deadline the time after which it has none. A request is late if it can no longer meet its target; each class has one
 // queue for requests in time and one for late requests. A ramp raises the limit linearly from one request to all slots. A
 // probe lowers the limit to one request to find out whether a slow server is overloaded or slow at any load. Gates of one service
-// report the typical latency of a class to each other; a gate with few answers of its own tells a cold server by it.
+// report the typical latency of a class to each other; a gate with few answers of its own recognizes a cold server by it.
 package ibisadmit
--- a/internal/request/ibisadmit/event.go
+++ b/internal/request/ibisadmit/event.go
@@ -87,11 +87,11 @@
 }
 
 // BaselineEvent reports what another gate of the same service has learnt of a class. As long as the gate has too few answers of
-// its own, it tells by it that its own server is cold.
+// its own, it recognizes by it that its own server is cold.
 type BaselineEvent struct {
 	// Class is the class.
 	Class ibisid.ClassName
-	// Report is what the other gate told.
+	// Report is what the other gate reported.
 	Report Report
 }
 
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -29,7 +29,7 @@
 	queuesByKey     map[queueKey]*classQueue
 	running         map[RequestID]runningRequest
 	timings         map[ibisid.ClassName]*classTiming
-	toldAt          map[ibisid.ClassName]time.Time
+	reportedAt      map[ibisid.ClassName]time.Time
 	rates           map[ibisid.TenantName]*rate.Limiter
 	openConnections int
 	draining        bool
@@ -64,7 +64,7 @@
 		queuesByKey: make(map[queueKey]*classQueue),
 		running:     make(map[RequestID]runningRequest),
 		timings:     make(map[ibisid.ClassName]*classTiming),
-		toldAt:      make(map[ibisid.ClassName]time.Time),
+		reportedAt:  make(map[ibisid.ClassName]time.Time),
 	}
 	g.setPolicy(config.Policy)
 	if config.StartCold {
--- a/internal/request/ibisadmit/limit.go
+++ b/internal/request/ibisadmit/limit.go
@@ -31,8 +31,8 @@
 	baseline  *ibislatency.Baseline
 	// latencies holds the distribution of each class's latencies; it is not kept with AlgorithmFixed.
 	latencies map[ibisid.ClassName]*ibislatency.Histogram
-	// told holds what other gates of the service have learnt; nil after the first baseline was discarded.
-	told            map[ibisid.ClassName]toldLatency
+	// reported holds what other gates of the service have learnt; nil after the first baseline was discarded.
+	reported        map[ibisid.ClassName]reportedLatency
 	meanRatio       ibislatency.Mean
 	failureShare    ibislatency.Mean
 	streak          streak
@@ -69,7 +69,7 @@
 		limit:     float64(slots),
 		baseline:  ibislatency.NewBaseline(),
 		latencies: make(map[ibisid.ClassName]*ibislatency.Histogram),
-		told:      make(map[ibisid.ClassName]toldLatency),
+		reported:  make(map[ibisid.ClassName]reportedLatency),
 		climb: hillClimb{
 			limit: slots,
 		},
@@ -164,13 +164,13 @@
 	return 0
 }
 
-// latencyRatio returns the latency as a multiple of the class's baseline, or of the usual latency that other gates told during a
+// latencyRatio returns the latency as a multiple of the class's baseline, or of the usual latency that other gates reported during a
 // probe that was started by it; a failure counts as coldRatio.
 func (l *limiter) latencyRatio(class ibisid.ClassName, e FinishEvent) float64 {
 	if e.Failed {
 		return coldRatio
 	}
-	if l.probe != nil && l.probe.byTold {
+	if l.probe != nil && l.probe.byReport {
 		if usual := l.stallLatency(class); usual > 0 {
 			return float64(e.Latency) / float64(usual)
 		}
--- a/internal/request/ibisadmit/probe.go
+++ b/internal/request/ibisadmit/probe.go
@@ -17,9 +17,9 @@
 	level      int
 	samples    int
 	ratioSum   float64
-	// byTold reports that the probe was started by a latency that other gates told. A server that is slow at level 1 then ramps
+	// byReport reports that the probe was started by a latency that other gates reported. A server that is slow at level 1 then ramps
 	// up: it may be cold or slower than theirs, and would stay at level 1 for ever in the latter case.
-	byTold bool
+	byReport bool
 	// slowAboveOne reports whether the server was slow above level 1 since it was last slow at level 1.
 	slowAboveOne bool
 }
@@ -47,7 +47,7 @@
 	}
 	slow := p.ratioSum > latencyTolerance*float64(p.samples)
 	switch {
-	case slow && p.level == 1 && p.byTold:
+	case slow && p.level == 1 && p.byReport:
 		l.resetBaselineAndRamp(p.startedAt)
 	case slow && p.level > 1 && p.slowAboveOne:
 		l.startRamp(l.coldStart, p.startedAt)
--- a/internal/request/ibisadmit/told.go
+++ b/internal/request/ibisadmit/reported.go
@@ -9,32 +9,32 @@
 )
 
 const (
-	maxTellers = 8 // gates whose reports of one class are kept
-	// maxToldAnswers bounds the weight of one gate's report beside those of others.
-	maxToldAnswers = 200
+	maxReports = 8 // gates whose reports of one class are kept
+	// maxReportedAnswers bounds the weight of one gate's report beside those of others.
+	maxReportedAnswers = 200
 )
 
-// toldLatency is what other gates told of one class, and all of it together.
-type toldLatency struct {
+// reportedLatency is what other gates reported of one class, and all of it together.
+type reportedLatency struct {
 	reports []Report
 	pooled  TypicalLatency
 }
 
-// learn takes in what another gate told. The report with the fewest answers gives way to one of a further gate.
+// learn takes in what another gate reported. The report with the fewest answers gives way to one of a further gate.
 func (l *limiter) learn(e BaselineEvent) {
-	if l.algorithm == AlgorithmFixed || l.told == nil || !l.young() || !e.Report.Typical.valid() {
+	if l.algorithm == AlgorithmFixed || l.reported == nil || !l.young() || !e.Report.Typical.valid() {
 		return
 	}
-	told := l.told[e.Class]
-	told.reports = slices.DeleteFunc(told.reports, func(r Report) bool { return r.From == e.Report.From })
-	e.Report.Typical.Answers = min(e.Report.Typical.Answers, maxToldAnswers)
-	told.reports = append(told.reports, e.Report)
-	slices.SortFunc(told.reports, func(a, b Report) int {
+	reported := l.reported[e.Class]
+	reported.reports = slices.DeleteFunc(reported.reports, func(r Report) bool { return r.From == e.Report.From })
+	e.Report.Typical.Answers = min(e.Report.Typical.Answers, maxReportedAnswers)
+	reported.reports = append(reported.reports, e.Report)
+	slices.SortFunc(reported.reports, func(a, b Report) int {
 		return cmp.Or(cmp.Compare(b.Typical.Answers, a.Typical.Answers), cmp.Compare(a.From, b.From))
 	})
-	told.reports = told.reports[:min(len(told.reports), maxTellers)]
-	told.pooled = pool(told.reports)
-	l.told[e.Class] = told
+	reported.reports = reported.reports[:min(len(reported.reports), maxReports)]
+	reported.pooled = pool(reported.reports)
+	l.reported[e.Class] = reported
 }
 
 // pool returns the reports together: means weighted by the number of answers, and the median of the quick latencies by the same
@@ -73,28 +73,28 @@
 // young reports whether the gate has too few answers for a reliable mean of its own.
 func (l *limiter) young() bool { return l.baselineSamples < minBaselineSamples }
 
-// knowsBetter returns what other gates told of the class if that rests on at least as many answers as this gate has seen.
+// knowsBetter returns what other gates reported of the class if that rests on at least as many answers as this gate has seen.
 func (l *limiter) knowsBetter(class ibisid.ClassName) (TypicalLatency, bool) {
-	told := l.told[class].pooled
-	return told, told.Answers > 0 && told.Answers >= l.baseline.Count(class)
+	reported := l.reported[class].pooled
+	return reported, reported.Answers > 0 && reported.Answers >= l.baseline.Count(class)
 }
 
 // streakRatioOf returns the latency as a multiple of the mean that is known better, this gate's own or that of others.
 func (l *limiter) streakRatioOf(class ibisid.ClassName, latency time.Duration) float64 {
-	if told, ok := l.knowsBetter(class); ok {
-		return float64(latency) / float64(told.Mean)
+	if reported, ok := l.knowsBetter(class); ok {
+		return float64(latency) / float64(reported.Mean)
 	}
 	return l.baseline.Ratio(class, latency)
 }
 
 // stallLatency returns the mean by which a stalled request of the class is found: the gate's own or, as long as it has too
-// few answers, a reliable one that other gates told; zero if there is none.
+// few answers, a reliable one that other gates reported; zero if there is none.
 func (l *limiter) stallLatency(class ibisid.ClassName) time.Duration {
 	if !l.young() {
 		return l.baseline.Typical(class)
 	}
-	if told := l.told[class].pooled; told.reliable() {
-		return told.Mean
+	if reported := l.reported[class].pooled; reported.reliable() {
+		return reported.Mean
 	}
 	return 0
 }
--- a/internal/request/ibisadmit/run.go
+++ b/internal/request/ibisadmit/run.go
@@ -50,8 +50,8 @@
 }
 
 func (l *limiter) quickLatency(class ibisid.ClassName) time.Duration {
-	if told, ok := l.knowsBetter(class); ok {
-		return told.Quick
+	if reported, ok := l.knowsBetter(class); ok {
+		return reported.Quick
 	}
 	if h := l.latencies[class]; h != nil {
 		return h.Quantile(quickShare)
@@ -76,10 +76,10 @@
 
 // earlierAnswers returns how many answers of the class are known, here and at other gates, and how many of them were not slow.
 func (l *limiter) earlierAnswers(class ibisid.ClassName) (all, fast float64) {
-	told, ok := l.knowsBetter(class)
+	reported, ok := l.knowsBetter(class)
 	if ok {
-		all = float64(told.Answers)
-		fast = all * (1 - told.Slow)
+		all = float64(reported.Answers)
+		fast = all * (1 - reported.Slow)
 	}
 	if h := l.latencies[class]; h != nil {
 		all += h.Count()
--- a/internal/request/ibisadmit/stall.go
+++ b/internal/request/ibisadmit/stall.go
@@ -32,7 +32,7 @@
 		return
 	}
 	g.limit.startProbe(now)
-	g.limit.probe.byTold = g.limit.young()
+	g.limit.probe.byReport = g.limit.young()
 	g.handleSlowServer(now)
 }
 
--- a/internal/request/ibisadmit/streak.go
+++ b/internal/request/ibisadmit/streak.go
@@ -50,13 +50,13 @@
 // showsCold reports whether the last streakLength answers were all far slower than usual.
 func (s *streak) showsCold() bool { return len(s.pending) >= streakLength }
 
-// resetBaselineAndRamp discards the baseline, and what other gates told, and starts a ramp from the given time. A few answers
+// resetBaselineAndRamp discards the baseline, and what other gates reported, and starts a ramp from the given time. A few answers
 // can't distinguish a cold server from one whose first answers were faster than the rest, nor from one that is slower than those
 // of other gates; in each case the answers after the ramp give the right baseline.
 func (l *limiter) resetBaselineAndRamp(from time.Time) {
 	l.baseline = ibislatency.NewBaseline()
 	l.latencies = make(map[ibisid.ClassName]*ibislatency.Histogram)
 	l.baselineSamples = 0
-	l.told = nil
+	l.reported = nil
 	l.startRamp(l.coldStart, from)
 }
--- a/internal/request/ibisadmit/typical.go
+++ b/internal/request/ibisadmit/typical.go
@@ -12,11 +12,11 @@
 	quickShare = 0.25
 	// slowRatio is the multiple of TypicalLatency.Quick above which an answer counts as slow.
 	slowRatio = 3
-	// tellPeriod is the time between two reports of one class once the gate has a reliable mean.
-	tellPeriod = time.Second
-	// maxToldLatency bounds the latencies that another gate may report.
-	maxToldLatency  = time.Hour
-	latencyRounding = 10 * time.Microsecond
+	// reportPeriod is the time between two reports of one class once the gate has a reliable mean.
+	reportPeriod = time.Second
+	// maxReportedLatency bounds the latencies that another gate may report.
+	maxReportedLatency = time.Hour
+	latencyRounding    = 10 * time.Microsecond
 )
 
 // TypicalLatency is what a gate has learnt of the time to the head of one class's answers.
@@ -31,7 +31,7 @@
 	Answers int
 }
 
-// Report is the typical latency of a class as another gate of the service tells it.
+// Report is the typical latency of a class as another gate of the service reports it.
 type Report struct {
 	// From is the node of the other gate.
 	From ibisid.NodeName
@@ -70,24 +70,24 @@
 
 func (t TypicalLatency) valid() bool {
 	return t.Answers > 0 && t.Slow >= 0 && t.Slow <= 1 &&
-		t.Quick > 0 && t.Quick <= maxToldLatency && t.Mean > 0 && t.Mean <= maxToldLatency
+		t.Quick > 0 && t.Quick <= maxReportedLatency && t.Mean > 0 && t.Mean <= maxReportedLatency
 }
 
 // reliable reports whether the mean may be used to find stalled requests.
 func (t TypicalLatency) reliable() bool { return t.Answers >= minBaselineSamples }
 
-// TellTypical returns the typical latency of the class where other gates of the service should hear of it now: with each
-// answer until there are enough for a reliable mean, then once a second. It tells only what this gate has learnt itself, so
+// ReportTypical returns the typical latency of the class where other gates of the service should hear of it now: with each
+// answer until there are enough for a reliable mean, then once a second. It reports only what this gate has learnt itself, so
 // that a latency that no server has any more does not go round.
-func (g *Gate) TellTypical(class ibisid.ClassName, now time.Time) (TypicalLatency, bool) {
-	if g.limit.baseline.Count(class) >= minBaselineSamples && now.Sub(g.toldAt[class]) < tellPeriod {
+func (g *Gate) ReportTypical(class ibisid.ClassName, now time.Time) (TypicalLatency, bool) {
+	if g.limit.baseline.Count(class) >= minBaselineSamples && now.Sub(g.reportedAt[class]) < reportPeriod {
 		return TypicalLatency{}, false
 	}
 	t := g.limit.ownTypical(class)
 	if !t.valid() {
 		return TypicalLatency{}, false
 	}
-	g.toldAt[class] = now
+	g.reportedAt[class] = now
 	return t, true
 }
 
--- a/internal/request/ibisadmit/typical_test.go
+++ b/internal/request/ibisadmit/typical_test.go
@@ -23,7 +23,7 @@
 			},
 		})
 	}
-	told := func(b *harness, latency time.Duration, answers int) {
+	reported := func(b *harness, latency time.Duration, answers int) {
 		tell(b, "n2", ibisadmit.TypicalLatency{
 			Mean:    latency,
 			Quick:   latency,
@@ -47,15 +47,15 @@
 	}
 	always := func(latency time.Duration) func() time.Duration { return func() time.Duration { return latency } }
 
-	DescribeTable("finds its server cold by what other gates of the service told",
+	DescribeTable("finds its server cold by what other gates of the service reported",
 		func(before int, config ibisadmit.Config, want int) {
 			b := newHarness(config)
 			answer(b, before, always(4*usual))
-			told(b, usual, 5)
+			reported(b, usual, 5)
 			Expect(answer(b, 20, always(4*usual))).To(Equal(want))
 		},
-		Entry("told before the first answer", 0, ibisadmit.Config{}, 1),
-		Entry("told after answers of the cold server", 5, ibisadmit.Config{}, 1),
+		Entry("reported before the first answer", 0, ibisadmit.Config{}, 1),
+		Entry("reported after answers of the cold server", 5, ibisadmit.Config{}, 1),
 		Entry("with AlgorithmFixed, which keeps the limit", 0, ibisadmit.Config{Algorithm: ibisadmit.AlgorithmFixed}, 10),
 	)
 
@@ -63,7 +63,7 @@
 		b := newHarness(ibisadmit.Config{
 			ColdStart: time.Second,
 		})
-		told(b, usual, 200)
+		reported(b, usual, 200)
 		b.arrive("kandy", "stock", 0)
 		b.arrive("kandy", "stock", 0)
 		b.now = b.now.Add(3 * usual)
@@ -72,7 +72,7 @@
 		b.finish(3*usual, false)
 		b.finish(3*usual, false)
 		answer(b, 2, always(3*usual))
-		told(b, usual, 1000)
+		reported(b, usual, 1000)
 		b.now = b.now.Add(time.Second)
 		Expect(answer(b, 200, always(3*usual))).To(BeNumerically(">=", 9), "the hill climb may be trying one slot less")
 	})
@@ -110,7 +110,7 @@
 				other := newHarness(ibisadmit.Config{ColdStart: time.Millisecond})
 				answer(other, 100, draw)
 				b := newHarness(ibisadmit.Config{})
-				t, ok := other.TellTypical("stock", other.now)
+				t, ok := other.ReportTypical("stock", other.now)
 				Expect(ok).To(BeTrue())
 				tell(b, "n2", t)
 				if answer(b, answers, draw) == 1 {
@@ -137,23 +137,23 @@
 })
 
 var _ = Describe("What a gate tells of a class", func() {
-	It("is told with each of the first answers and once a second afterwards, and can be read again", func() {
+	It("is reported with each of the first answers and once a second afterwards, and can be read again", func() {
 		b := newHarness(ibisadmit.Config{})
-		_, ok := b.TellTypical("stock", b.now)
+		_, ok := b.ReportTypical("stock", b.now)
 		Expect(ok).To(BeFalse())
 		b.warmUp(49)
 		for range 2 {
-			_, ok = b.TellTypical("stock", b.now)
+			_, ok = b.ReportTypical("stock", b.now)
 			Expect(ok).To(BeTrue())
 		}
 		b.warmUp(1)
 		b.now = b.now.Add(time.Second)
-		t, ok := b.TellTypical("stock", b.now)
+		t, ok := b.ReportTypical("stock", b.now)
 		Expect(ok).To(BeTrue())
 		Expect(t.Answers).To(Equal(50))
 		Expect(t.Mean).To(Equal(10 * time.Millisecond))
 		Expect(t.Quick).To(BeNumerically("~", 10*time.Millisecond, time.Millisecond))
-		_, ok = b.TellTypical("stock", b.now.Add(999*time.Millisecond))
+		_, ok = b.ReportTypical("stock", b.now.Add(999*time.Millisecond))
 		Expect(ok).To(BeFalse())
 		read, err := ibisadmit.ParseReport(ibisadmit.Report{
 			From:    "n2",
