ibisadmission, ibisdispatch: one end for each slot and each try

A slot, and a try that the chooser counts, ended in several places, and once more for a panic. One deferred call ends them now unless the body of the answer does. The limit on a body of unknown length is checked where the body is read, and its error has the limit; the start of the configuration in force is kept in one place. No behaviour changes, but for the text of that error.

--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -156,69 +156,51 @@
 	if !ok {
 		return g.withLoad(refusal)
 	}
-	ended := false
-	defer func() {
-		if !ended {
-			// A panic must not keep the slot.
-			g.finish(ibisadmit.FinishEvent{
-				ID: id,
-			})
-		}
-	}()
-	answer := g.run(ctx, order, id, incarnation)
-	ended = true
-	return g.withLoad(answer)
+	return g.withLoad(g.run(ctx, order, id, incarnation))
 }
 
-// run sends an admitted order and returns its answer; the slot is free again, or the answer's body frees it.
+// run sends an admitted order and returns its answer. The slot is free again, after a panic too, unless the answer has a body,
+// which frees it.
 func (g *Guard) run(ctx context.Context, order ibismessage.Order, id ibisadmit.RequestID, incarnation ibisroster.ServerIncarnation) ibismessage.Answer {
+	end := ibisadmit.FinishEvent{
+		ID: id,
+	}
+	freedByBody := false
+	defer func() {
+		if !freedByBody {
+			g.finish(end)
+		}
+	}()
 	if refusal, ok := g.checkKey(order); !ok {
-		g.finish(ibisadmit.FinishEvent{
-			ID: id,
-		})
 		return refusal
 	}
 	began := g.clock.Now()
 	left := order.Deadline.Sub(began)
 	if left < minTimeLeft {
-		g.finish(ibisadmit.FinishEvent{
-			ID: id,
-		})
 		return ibismessage.NotRun(ibismessage.ReasonDeadline, 0, nil)
 	}
 	expectedBytes, ok := g.reserveLink(order, began)
 	if !ok {
-		g.finish(ibisadmit.FinishEvent{
-			ID: id,
-		})
 		return ibismessage.NotRun(ibismessage.ReasonStopping, 0, nil)
 	}
 	answer := g.send(ctx, order, incarnation, left, expectedBytes)
-	latency := g.clock.Now().Sub(began)
+	end.Latency = g.clock.Now().Sub(began)
 	if answer.Outcome != ibisid.OutcomeDone {
 		if answer.Reason == ibismessage.ReasonServerEnded {
 			g.ownership.ReportServerEnded(incarnation)
 		}
-		g.finish(ibisadmit.FinishEvent{
-			ID:      id,
-			Latency: latency,
-			Failed:  answer.Arrived,
-		})
+		end.Failed = answer.Arrived
 		return answer
 	}
+	end.Failed = answer.Status >= http.StatusInternalServerError
 	g.recordHeaders(id)
 	answer.Body = &slotBody{
 		body:      answer.Body,
 		announced: min(answer.Length, g.link.limits.bytesWithin(left)),
-		release: func(length int64) {
-			g.finishAnswer(order.Class, length, ibisadmit.FinishEvent{
-				ID:      id,
-				Latency: latency,
-				Failed:  answer.Status >= http.StatusInternalServerError,
-			})
-		},
+		release:   func(length int64) { g.finishAnswer(order.Class, length, end) },
 	}
 	g.bufferAnswer(&answer)
+	freedByBody = true
 	return answer
 }
 
--- a/internal/relay/ibisdispatch/attempt.go
+++ b/internal/relay/ibisdispatch/attempt.go
@@ -15,19 +15,19 @@
 	"github.com/ibisridge/ibisridge/internal/request/ibisbalancer"
 )
 
-// attempt sends an order to one node and reports the result to the chooser. A short answer is read to its end first, so that
-// a truncated one counts as no answer.
+// attempt sends an order to one node and reports the result to the chooser, that of a panic as a failure. A short answer is
+// read to its end first, so that a truncated one counts as no answer.
 func (d *Dispatcher) attempt(ctx context.Context, p plan, member ibisroster.Member, order ibismessage.Order) ibismessage.Answer {
 	chooser, id, began := d.recordSent(p, member.Node, order.Class)
-	returned := false
+	end := ibisbalancer.AttemptEndEvent{
+		ID:     id,
+		Node:   member.Node,
+		Result: ibisbalancer.ResultFailed,
+	}
+	endsWithBody := false
 	defer func() {
-		if !returned {
-			// A panic must not leave the try among the unanswered ones.
-			d.recordDone(chooser, ibisbalancer.AttemptEndEvent{
-				ID:     id,
-				Node:   member.Node,
-				Result: ibisbalancer.ResultFailed,
-			})
+		if !endsWithBody {
+			d.recordDone(chooser, end)
 		}
 	}()
 	answer := d.peers.Send(ctx, member, order)
@@ -36,24 +36,19 @@
 	if answer.Outcome == ibisid.OutcomeDone {
 		answer = bufferAnswerStart(answer)
 	}
-	returned = true
-	event := ibisbalancer.AttemptEndEvent{
-		ID:         id,
-		Node:       member.Node,
-		Result:     resultOf(ctx, answer),
-		Latency:    latency,
-		RetryAfter: answer.RetryAfter,
-		GateLoad:   max(answer.Load, 0),
-		Bytes:      exchangedBytes(order, answer),
-	}
+	end.Result = resultOf(ctx, answer)
+	end.Latency = latency
+	end.RetryAfter = answer.RetryAfter
+	end.GateLoad = max(answer.Load, 0)
+	end.Bytes = exchangedBytes(order, answer)
 	if answer.Outcome != ibisid.OutcomeDone {
-		d.recordDone(chooser, event)
 		return answer
 	}
 	answer.Body = &notifyingBody{
 		ReadCloser: answer.Body,
-		onClose:    sync.OnceFunc(func() { d.recordDone(chooser, event) }),
+		onClose:    sync.OnceFunc(func() { d.recordDone(chooser, end) }),
 	}
+	endsWithBody = true
 	return answer
 }
 
--- a/internal/relay/ibisdispatch/body.go
+++ b/internal/relay/ibisdispatch/body.go
@@ -57,7 +57,7 @@
 	}
 	cancel()
 	if body.tooLong.Load() {
-		answer.Reason, answer.RetryAfter, answer.Err = ibismessage.ReasonTooLong, 0, errTooLong
+		answer.Reason, answer.RetryAfter, answer.Err = ibismessage.ReasonTooLong, 0, bodyTooLong(limit)
 	}
 	return answer, tries
 }
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -115,6 +115,13 @@
 	return d.config
 }
 
+// ConfigSince returns when the configuration in force was set, the zero time before the first SetConfig.
+func (d *Dispatcher) ConfigSince() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.configSince
+}
+
 // SetConfig puts a configuration in force unless the present one is as new or newer, and reports whether it did.
 func (d *Dispatcher) SetConfig(config *ibisroute.Config) bool {
 	d.mu.Lock()
@@ -181,7 +188,7 @@
 	return d.roster.FirstInDomain(domain, d.isAvailable)
 }
 
-// isAvailable reports whether a member is neither stopping nor marked as unreachable; f.mu is held.
+// isAvailable reports whether a member is neither stopping nor marked as unreachable; d.mu is held.
 func (d *Dispatcher) isAvailable(m ibisroster.Member) bool {
 	return !m.Stopping && !d.unreachable.Has(m.Node)
 }
@@ -306,9 +313,6 @@
 	}
 	limit := p.config.Limits().BodyBytes
 	body, rest, err := readBody(request, limit)
-	if err == nil && limit > 0 && int64(len(body)) > limit {
-		err = errTooLong
-	}
 	if err != nil {
 		reason := ibismessage.ReasonBadRequest
 		if errors.Is(err, errTooLong) {
--- a/internal/relay/ibisdispatch/plan.go
+++ b/internal/relay/ibisdispatch/plan.go
@@ -14,8 +14,12 @@
 
 var errTooLong = errors.New("body is longer than the configuration allows")
 
+// bodyTooLong returns the error of a body of unknown length that exceeds the limit in bytes.
+func bodyTooLong(limit int64) error { return fmt.Errorf("%w: more than %d bytes", errTooLong, limit) }
+
 // readBody returns a body of up to maxBufferedBodyBytes in memory; for a longer one it also returns a reader of the rest.
-// It fails if the body is longer than the limit in bytes, where zero means no limit, or if reading fails.
+// It fails if the body, as far as it is known, is longer than the limit in bytes, where zero means no limit, or if reading
+// fails.
 func readBody(r Request, limit int64) ([]byte, io.Reader, error) {
 	if r.Body == nil || r.Length == 0 {
 		return nil, nil, nil
@@ -30,6 +34,9 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("read the request body: %w", err)
 	}
+	if limit > 0 && int64(len(body)) > limit {
+		return nil, nil, bodyTooLong(limit)
+	}
 	if len(body) > maxBufferedBodyBytes {
 		return body, r.Body, nil
 	}
