ibislink: io.LimitedReader bounds a head; Request.Deadline

A reader of our own did what io.LimitedReader does. ValueUntil is Deadline, and the bound on heads stands once, for the clients of the store and of neighbors too. Names and structure only.

--- a/internal/relay/ibisforward/client.go
+++ b/internal/relay/ibisforward/client.go
@@ -37,13 +37,13 @@
 	left := order.Deadline.Sub(now)
 	timer := time.AfterFunc(left, func() { cancel(context.DeadlineExceeded) })
 	response, err := c.pool(address).Exchange(ctx, ibislink.Request{
-		Method:     order.Method,
-		URI:        order.URI,
-		Host:       order.Host,
-		Header:     encodeOrder(order, now),
-		Body:       order.BodyReader(),
-		Length:     order.Length,
-		ValueUntil: time.Now().Add(left),
+		Method:   order.Method,
+		URI:      order.URI,
+		Host:     order.Host,
+		Header:   encodeOrder(order, now),
+		Body:     order.BodyReader(),
+		Length:   order.Length,
+		Deadline: time.Now().Add(left),
 	})
 	timer.Stop()
 	if err != nil {
--- a/internal/relay/ibislink/conn.go
+++ b/internal/relay/ibislink/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -17,16 +16,17 @@
 
 // conn is a connection with its read buffer.
 type conn struct {
-	tcp       *net.TCPConn
-	source    *limitedReader
+	tcp *net.TCPConn
+	// source limits what is read while a head is.
+	source    *io.LimitedReader
 	reader    *bufio.Reader
 	idleUntil time.Time
 }
 
 func newConn(tcp *net.TCPConn) *conn {
-	source := &limitedReader{
-		source: tcp,
-		limit:  math.MaxInt64,
+	source := &io.LimitedReader{
+		R: tcp,
+		N: math.MaxInt64,
 	}
 	return &conn{
 		tcp:    tcp,
@@ -38,34 +38,14 @@
 // readHead reads the head of a response, at most limit bytes, and returns its size in bytes as well. It fails with
 // ErrLongHead if the head doesn't end within the limit.
 func (c *conn) readHead(request *http.Request, limit int64) (*http.Response, int64, error) {
-	begin := c.source.read - int64(c.reader.Buffered())
-	c.source.limit = begin + limit
+	c.source.N = limit - int64(c.reader.Buffered())
 	response, err := http.ReadResponse(c.reader, request)
-	if err != nil && c.source.read >= c.source.limit {
+	if err != nil && c.source.N <= 0 {
 		err = fmt.Errorf("%w: %w", ErrLongHead, err)
 	}
-	c.source.limit = math.MaxInt64
-	return response, c.source.read - int64(c.reader.Buffered()) - begin, err
-}
-
-// errReadLimit reports that the limit of a limitedReader has been reached.
-var errReadLimit = errors.New("read limit reached")
-
-// limitedReader fails with errReadLimit after it has read limit bytes in total.
-type limitedReader struct {
-	source io.Reader
-	read   int64
-	limit  int64
-}
-
-// Read reads from the source up to the limit.
-func (r *limitedReader) Read(p []byte) (int, error) {
-	if r.read >= r.limit {
-		return 0, errReadLimit
-	}
-	n, err := r.source.Read(p[:min(int64(len(p)), r.limit-r.read)])
-	r.read += int64(n)
-	return n, err
+	size := limit - c.source.N - int64(c.reader.Buffered())
+	c.source.N = math.MaxInt64
+	return response, size, err
 }
 
 // isUsable reports whether the connection is open and has no unsolicited bytes to read.
--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -20,11 +20,10 @@
 	maxMismatched = 3
 	// maxMismatchedBytes is the largest body of a response to discard.
 	maxMismatchedBytes = 1 << 20
-	// maxHeadBytes bounds the heads that are read in one exchange: the response's, interim ones, and those of responses to
-	// earlier requests. It is far above what HTTP clients commonly accept.
-	maxHeadBytes = 64 << 10
-	// minBodyRate is the rate in bytes per second at which a body of known length may be read at the slowest after its value has
-	// ended, over its whole length.
+	// MaxHeadBytes is the greatest size of the heads that are read in one exchange, in bytes: the response's, interim ones, and
+	// those of responses to earlier requests. It is far above what HTTP clients commonly accept.
+	MaxHeadBytes = 64 << 10
+	// minBodyRate is the lowest mean rate, in bytes per second, at which a body of known length may be read after the deadline.
 	minBodyRate = 1 << 10
 	// maxBodySeconds is the longest time in seconds that a body's length gives it, ten years.
 	maxBodySeconds = 10 * 365 * 24 * 60 * 60
@@ -111,11 +110,11 @@
 		Header: response.Header,
 		Length: response.ContentLength,
 		Body: &body{
-			exchange:   x,
-			source:     response.Body,
-			reusable:   !response.Close && !x.sawMismatch,
-			length:     response.ContentLength,
-			valueUntil: request.ValueUntil,
+			exchange: x,
+			source:   response.Body,
+			reusable: !response.Close && !x.sawMismatch,
+			length:   response.ContentLength,
+			deadline: request.Deadline,
 		},
 	}, nil
 }
@@ -151,7 +150,7 @@
 
 // read returns the response with the id and discards those to earlier requests.
 func (x *exchange) read(out *http.Request, id string) (*http.Response, error) {
-	headBytesLeft := int64(maxHeadBytes)
+	headBytesLeft := int64(MaxHeadBytes)
 	for skipped := 0; skipped <= maxMismatched; {
 		response, headBytes, err := x.conn.readHead(out, headBytesLeft)
 		headBytesLeft -= headBytes
@@ -216,8 +215,8 @@
 	source   io.ReadCloser
 	reusable bool
 	// length is in bytes, -1 if unknown.
-	length     int64
-	valueUntil time.Time
+	length   int64
+	deadline time.Time
 	// err is the error that ended the body; the connection may belong to another exchange since then.
 	err error
 }
@@ -246,15 +245,15 @@
 
 // limitRead sets the time by which the next read must return.
 func (b *body) limitRead(now time.Time) error {
-	if b.valueUntil.IsZero() || b.source == http.NoBody {
+	if b.deadline.IsZero() || b.source == http.NoBody {
 		return nil
 	}
 	until := now
-	if until.Before(b.valueUntil) {
-		until = b.valueUntil
+	if until.Before(b.deadline) {
+		until = b.deadline
 	}
 	until = until.Add(b.exchange.pool.options.StallTimeout)
-	if end := b.valueUntil.Add(b.exchange.pool.options.EndTimeout + timeForLength(b.length)); end.Before(until) {
+	if end := b.deadline.Add(b.exchange.pool.options.EndTimeout + timeForLength(b.length)); end.Before(until) {
 		until = end
 	}
 	return b.exchange.conn.tcp.SetReadDeadline(until)
--- a/internal/relay/ibislink/pool.go
+++ b/internal/relay/ibislink/pool.go
@@ -34,9 +34,9 @@
 	MaxOpen int
 	// MayDial, if set, is called before a connection is opened; no connection is opened if it fails.
 	MayDial func() error
-	// StallTimeout is how long after Request.ValueUntil a read of a body waits for a byte, 5 s if zero.
+	// StallTimeout is how long after Request.Deadline a read of a body waits for a byte, 5 s if zero.
 	StallTimeout time.Duration
-	// EndTimeout is how long after Request.ValueUntil a body may last, a minute if zero; a body of known length may last longer
+	// EndTimeout is how long after Request.Deadline a body may last, a minute if zero; a body of known length may last longer
 	// by a second for each KiB.
 	EndTimeout time.Duration
 }
--- a/internal/relay/ibislink/pool_test.go
+++ b/internal/relay/ibislink/pool_test.go
@@ -346,7 +346,7 @@
 	ctx := context.Background()
 
 	// exchange sends a request to a server that handles its connections by a function, and returns the response.
-	exchange := func(handle func(conn net.Conn), valueUntil time.Time, stall, end time.Duration) (*ibislink.Pool, *ibislink.Response) {
+	exchange := func(handle func(conn net.Conn), deadline time.Time, stall, end time.Duration) (*ibislink.Pool, *ibislink.Response) {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = listener.Close() })
@@ -371,7 +371,7 @@
 		p := ibislink.New(ibislink.Options{Address: listener.Addr().String(), StallTimeout: stall, EndTimeout: end})
 		DeferCleanup(p.Close)
 		r := request("")
-		r.ValueUntil = valueUntil
+		r.Deadline = deadline
 		response, err := p.Exchange(ctx, r)
 		Expect(err).NotTo(HaveOccurred())
 		return p, response
--- a/internal/relay/ibislink/request.go
+++ b/internal/relay/ibislink/request.go
@@ -27,9 +27,9 @@
 	Begin func(r *Request) error
 	// ID is the id that the response must repeat in the header Options.IDHeader; empty if responses carry none.
 	ID string
-	// ValueUntil is until when the response is of value; from then on its body must make progress and end in time. The zero time
-	// sets no bounds.
-	ValueUntil time.Time
+	// Deadline is the time after which a body that makes no progress, or does not end, is cut off. It doesn't limit the time
+	// until the head arrives. The zero time sets no bounds.
+	Deadline time.Time
 }
 
 // Response is the response of an exchange; its body must be closed.
@@ -51,10 +51,10 @@
 // because they were too many, too long or closed the connection.
 var ErrMismatchedResponse = errors.New("response does not match the request")
 
-// ErrLongHead reports that the head of a response, with the heads read before it, did not end within maxHeadBytes.
+// ErrLongHead reports that the head of a response, with the heads read before it, did not end within MaxHeadBytes.
 var ErrLongHead = errors.New("response head is too long")
 
-// ErrLateBody reports that after Request.ValueUntil no byte of a body arrived for too long, or the body did not end in time.
+// ErrLateBody reports that after Request.Deadline no byte of a body arrived for too long, or the body did not end in time.
 var ErrLateBody = errors.New("response body did not end in time")
 
 func (r Request) httpRequest() *http.Request {
--- a/internal/relay/ibisneighbor/store.go
+++ b/internal/relay/ibisneighbor/store.go
@@ -30,8 +30,6 @@
 	// maxAnswerBytes bounds an answer, decompressed, which may hold all members and pages of a large deployment. While it is
 	// decoded, it takes more than twice its size in memory.
 	maxAnswerBytes = 24 << 20
-	// maxAnswerHeadBytes bounds the size of an answer's head.
-	maxAnswerHeadBytes = 64 << 10
 )
 
 // Store is the platform's store, except that it asks a neighbor first for the changes of one table.
@@ -71,7 +69,7 @@
 			DialContext:            ibislink.Dialer(dialTimeout).DialContext,
 			MaxIdleConnsPerHost:    1,
 			IdleConnTimeout:        idle,
-			MaxResponseHeaderBytes: maxAnswerHeadBytes,
+			MaxResponseHeaderBytes: ibislink.MaxHeadBytes,
 		},
 		Timeout: timeout,
 	}
