--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -286,7 +286,7 @@
 		cut = ibisforward.WriteAnswer(context.Background(), httptest.NewRecorder(), broken)
 		Expect(cut).To(HaveField("Cause", ibismessage.CutCauseSource))
 		Expect(cut).To(HaveField("SentBytes", BeNumerically("==", 4)))
-		Expect(cut).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(cut.Err).To(MatchError(io.ErrUnexpectedEOF))
 	})
 })
 
--- a/internal/relay/ibisforward/server.go
+++ b/internal/relay/ibisforward/server.go
@@ -127,14 +127,21 @@
 
 // Flush sends what has been written of an answer and returns why it can't, nil if it can.
 func Flush(ctx context.Context, w http.ResponseWriter) *ibismessage.Cut {
-	left := ibismessage.NewCut(ctx, ibismessage.CutCauseConnection, nil)
+	// A failed write ends the context, too.
+	cause := ibismessage.CutCauseOf(ctx, ibismessage.CutCauseConnection)
 	if err := http.NewResponseController(w).Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		left.Err = fmt.Errorf("write the answer: %w", err)
-		return left
+		return writeCut(cause, err)
 	}
 	return nil
 }
 
+func writeCut(cause ibismessage.CutCause, err error) *ibismessage.Cut {
+	return &ibismessage.Cut{
+		Cause: cause,
+		Err:   fmt.Errorf("write the answer: %w", err),
+	}
+}
+
 // copyBody passes a body on as it arrives: bytes that have been read are flushed before the next read can block. It returns
 // the number of bytes written.
 func copyBody(ctx context.Context, w http.ResponseWriter, body io.Reader) (int64, *ibismessage.Cut) {
@@ -142,23 +149,24 @@
 	for sent := int64(0); ; {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			// A failed write ends the context, too.
-			cut := ibismessage.NewCut(ctx, ibismessage.CutCauseConnection, nil)
+			cause := ibismessage.CutCauseOf(ctx, ibismessage.CutCauseConnection)
 			written, werr := w.Write(buffer[:n])
 			sent += int64(written)
 			if errors.Is(werr, http.ErrContentLength) {
-				cut.Cause = ibismessage.CutCauseSource
+				cause = ibismessage.CutCauseSource
 			}
 			if werr != nil {
-				cut.Err = fmt.Errorf("write the answer: %w", werr)
-				return sent, cut
+				return sent, writeCut(cause, werr)
 			}
 		}
 		if err == io.EOF {
 			return sent, nil
 		}
 		if err != nil {
-			return sent, ibismessage.NewCut(ctx, ibismessage.CutCauseSource, fmt.Errorf("read the answer: %w", err))
+			return sent, &ibismessage.Cut{
+				Cause: ibismessage.CutCauseOf(ctx, ibismessage.CutCauseSource),
+				Err:   fmt.Errorf("read the answer: %w", err),
+			}
 		}
 		if n < len(buffer) {
 			if cut := Flush(ctx, w); cut != nil {
--- a/internal/relay/ibismessage/cut.go
+++ b/internal/relay/ibismessage/cut.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 )
@@ -27,9 +26,9 @@
 	CutCauseExit CutCause = "exit"
 )
 
-// Cut is the error of an answer that was not written in full.
+// Cut describes an answer that was not written in full.
 type Cut struct {
-	// Cause is why.
+	// Cause is why it was not.
 	Cause CutCause
 	// Node is the node that the answer came from, empty if there was none.
 	Node ibisid.NodeName
@@ -41,23 +40,13 @@
 	Err error
 }
 
-// NewCut returns the error of an answer that ended with err; cause is the cause unless the context had ended before.
-func NewCut(ctx context.Context, cause CutCause, err error) *Cut {
-	if ended := context.Cause(ctx); errors.Is(ended, ErrExiting) {
-		cause = CutCauseExit
-	} else if ended != nil {
-		cause = CutCauseCallerLeft
+// CutCauseOf returns the given cause unless the context of the request has ended, which is the cause then.
+func CutCauseOf(ctx context.Context, cause CutCause) CutCause {
+	switch ended := context.Cause(ctx); {
+	case ended == nil:
+		return cause
+	case errors.Is(ended, ErrExiting):
+		return CutCauseExit
 	}
-	return &Cut{
-		Cause: cause,
-		Err:   err,
-	}
-}
-
-// Error returns the cause and the error that ended the answer.
-func (c *Cut) Error() string {
-	return fmt.Sprintf("answer cut off after %d of %d bytes (%s): %v", c.SentBytes, c.Length, c.Cause, c.Err)
+	return CutCauseCallerLeft
 }
-
-// Unwrap returns the error that ended the answer.
-func (c *Cut) Unwrap() error { return c.Err }
