ibisadmit: the run of slow answers is counted when it is long enough

How many answers of each class a run has follows from its answers. Comments of the run, and of what a lease holder hears, say the same in words that need one reading.

--- a/internal/ownership/ibislease/effect.go
+++ b/internal/ownership/ibislease/effect.go
@@ -18,8 +18,8 @@
 	Witnesses []ibisid.Member
 	// Sent is the holder's local time; the acknowledgement returns it.
 	Sent time.Time
-	// Unheard has an entry for each witness whose answers no longer arrive: the age of the latest heartbeat whose answer the holder
-	// heard. The holder counts no other acknowledgement of a heartbeat that it sent before this one.
+	// Unheard holds, for each witness whose answers no longer arrive, the age of the latest heartbeat whose answer arrived. The
+	// holder ignores all later acknowledgements of heartbeats that it sent before this one.
 	Unheard map[ibisid.Member]time.Duration
 }
 
--- a/internal/ownership/ibislease/holder.go
+++ b/internal/ownership/ibislease/holder.go
@@ -39,9 +39,9 @@
 	ackedSent map[ibisid.Member]time.Time
 	// probedSince holds, for each witness, the time of the first heartbeat to it.
 	probedSince map[ibisid.Member]time.Time
-	// heardSent holds, for each witness, the time at which the latest heartbeat was sent whose answer arrived, whatever it was.
+	// heardSent holds, for each witness, the time of the latest heartbeat that it answered in any way.
 	heardSent map[ibisid.Member]time.Time
-	// countedFrom holds, for each witness, the time before which no heartbeat was sent whose acknowledgement still counts on arrival.
+	// countedFrom holds, for each witness, the time of the earliest heartbeat whose acknowledgement still counts when it arrives.
 	countedFrom map[ibisid.Member]time.Time
 	// refused are the witnesses that promised never to renew this incarnation again.
 	refused ibisset.Set[ibisid.Member]
@@ -191,7 +191,8 @@
 	h.refused = refused
 }
 
-// handleAck applies the answer of a witness. To one that doesn't renew, the next tick answers that it was heard.
+// handleAck applies the answer of a witness. After one that doesn't renew, the next tick sends a heartbeat, which shows the witness
+// that it is heard.
 func (h *Holder) handleAck(e AckEvent, now time.Time) {
 	if e.Holder != h.Self() {
 		return
@@ -261,9 +262,9 @@
 	}}
 }
 
-// voidUnheard returns the witnesses that the holder has not heard for so long that none of their acknowledgements is valid any
-// more, with the time since the last one. From now on it counts no acknowledgement of an earlier heartbeat, so that the
-// witness may wait a term from that one.
+// voidUnheard returns the witnesses whose latest acknowledgement is no longer valid because the holder has not heard them since,
+// with the age of the latest heartbeat that they answered. The holder ignores acknowledgements of earlier heartbeats from now
+// on, so that a witness may count its term from that heartbeat.
 func (h *Holder) voidUnheard(to []ibisid.Member, now time.Time) map[ibisid.Member]time.Duration {
 	var unheard map[ibisid.Member]time.Duration
 	for _, w := range to {
--- a/internal/request/ibisadmit/limit.go
+++ b/internal/request/ibisadmit/limit.go
@@ -32,11 +32,12 @@
 	// latencies holds the distribution of each class's latencies; it is not kept with AlgorithmFixed.
 	latencies map[ibisid.ClassName]*ibislatency.Histogram
 	// reported holds what other gates of the service have learnt; nil after the first baseline was discarded.
-	reported        map[ibisid.ClassName]reportedLatency
-	meanRatio       ibislatency.Mean
-	failureShare    ibislatency.Mean
-	streak          streak
-	run             slowRun
+	reported     map[ibisid.ClassName]reportedLatency
+	meanRatio    ibislatency.Mean
+	failureShare ibislatency.Mean
+	streak       streak
+	// slowRun holds the answers since the last one that was not slow.
+	slowRun         []pendingSample
 	baselineSamples int
 	shrunkAt        time.Time
 	ramps           []ramp
@@ -117,7 +118,7 @@
 	l.meanRatio = ibislatency.Mean{}
 	l.failureShare = ibislatency.Mean{}
 	l.streak = streak{}
-	l.run = slowRun{}
+	l.slowRun = nil
 }
 
 // addSample records the end of a request that was admitted at the given time. It reports whether the limit fell to 1 because
--- a/internal/request/ibisadmit/run.go
+++ b/internal/request/ibisadmit/run.go
@@ -13,30 +13,21 @@
 // runOdds is the number of runs of answers of which at most one may indicate a cold server by chance.
 const runOdds = 6000
 
-// slowRun is the row of answers since the last one that was not slow. It finds a cold server of a class whose answers differ so
-// much that the cold server is no slower than their mean. Its answers count for the class's distribution once it has ended.
-type slowRun struct {
-	answers []pendingSample
-	length  map[ibisid.ClassName]int
-}
-
-// recordRun adds an answer to the run, or ends the run if the answer was not slow.
+// recordRun adds an answer to the run of slow answers, or ends the run if the answer was not slow. The run finds a cold server of
+// a class whose answers differ so much that the cold server is no slower than their mean. Its answers count for the class's
+// distribution once it has ended.
 func (l *limiter) recordRun(class ibisid.ClassName, latency time.Duration) {
 	if quick := l.quickLatency(class); l.young() && quick > 0 && latency > slowRatio*quick {
-		if l.run.length == nil {
-			l.run.length = make(map[ibisid.ClassName]int)
-		}
-		l.run.length[class]++
-		l.run.answers = append(l.run.answers, pendingSample{
+		l.slowRun = append(l.slowRun, pendingSample{
 			class:   class,
 			latency: latency,
 		})
 		return
 	}
-	for _, a := range l.run.answers {
+	for _, a := range l.slowRun {
 		l.addToDistribution(a.class, a.latency)
 	}
-	l.run = slowRun{}
+	l.slowRun = nil
 	l.addToDistribution(class, latency)
 }
 
@@ -59,17 +50,21 @@
 	return 0
 }
 
-// runShowsCold reports whether the run is too long to be chance. If the order of answers is chance, the m answers of a class in
-// the run are all slow, after K of N earlier ones were not, only if the K fastest of all N+m come first, with the chance
-// C(N,K)/C(N+m,K) whatever the distribution.
+// runShowsCold reports whether the run of slow answers is too long to be chance. If any order of the N earlier answers of a class
+// and its m answers in the run is equally likely, the K fast ones are all among the N earlier ones with the probability
+// C(N,K)/C(N+m,K), whatever the distribution.
 func (l *limiter) runShowsCold() bool {
-	if len(l.run.answers) < streakLength {
+	if len(l.slowRun) < streakLength {
 		return false
 	}
+	slow := make(map[ibisid.ClassName]float64)
+	for _, a := range l.slowRun {
+		slow[a.class]++
+	}
 	odds := 0.0
-	for _, class := range slices.Sorted(maps.Keys(l.run.length)) {
+	for _, class := range slices.Sorted(maps.Keys(slow)) {
 		earlier, fast := l.earlierAnswers(class)
-		odds += logBinomial(earlier+float64(l.run.length[class]), fast) - logBinomial(earlier, fast)
+		odds += logBinomial(earlier+slow[class], fast) - logBinomial(earlier, fast)
 	}
 	return odds >= math.Log(runOdds)
 }
