A stopping node gives what it takes no more time than it has left

What callers would see: a request that a stopping node took up to 2.7 s after its signal went on with all the time of its caller, up to several seconds more than the node had. A quarter of a second before the exit it was cancelled while its backend server worked on it, and the caller got 502, or a cut answer if it had begun. The other node didn't know the end, so that it could neither refuse the request, which is a true "not run", nor have its backend server end it in time.

Found in review, by reading; the rule of a stop was kept only for the node's own backend server.

Evidence: without the bound the new spec of ibisdispatch fails, the order being due when its caller's time ends. The time also bounds retries, admission and the time that backend servers are told, as every deadline does.

--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -254,6 +254,15 @@
 		Expect(ask(4200 * time.Millisecond).Target).To(Equal(clock.Now().Add(375 * time.Millisecond)))
 	})
 
+	// Guards against answers that the end of a stopping node cut off although another node still worked on them.
+	It("gives an order no more time than the stopping node has for its answer", func() {
+		answerBy := clock.Now().Add(time.Second)
+		dispatcher.Serve(context.Background(), ibisdispatch.Request{
+			ID: "r", Method: http.MethodGet, URI: "/look/1", Path: "/look/1", Host: "mats.example", CallerTimeout: 2 * time.Second, Arrived: clock.Now(), AnswerBy: answerBy,
+		})
+		Expect(p.orders[0].Deadline).To(Equal(answerBy))
+	})
+
 	It("sends a request with a key to its owner, then to the owner that the refusal names", func() {
 		p.answer = func(n int, _ ibisid.NodeName) ibismessage.Answer {
 			if n == 0 {
--- a/internal/relay/ibisdispatch/plan.go
+++ b/internal/relay/ibisdispatch/plan.go
@@ -59,10 +59,7 @@
 		return plan{}, ibismessage.NotRun(ibismessage.ReasonFaultyRoute, d.jitter(faultyRouteRetryAfter), route.Fault), false
 	}
 	service, _ := d.config.Service(d.splitter.Next(d.config.Version(), route))
-	timeout := route.Timeout
-	if r.CallerTimeout > 0 {
-		timeout = min(timeout, r.CallerTimeout)
-	}
+	timeout := r.timeLeft(route.Timeout)
 	target := route.Target
 	if target <= 0 {
 		target = timeout
