ibisrange: leases are read once another one should have ended

What callers saw: where an owner and its node fell silent together, its keys waited for up to 2.5 s longer than its lease, since only the next regular read of the leases could show the end.

Evidence: the new spec fails without the change.

Three nodes look for such an end, at most each 0.6 s, and only where a lease as last read should be over; whether it is, its row decides as before, by the store's clock. Nothing else of a takeover changes.

--- a/internal/relay/ibisrange/guard_test.go
+++ b/internal/relay/ibisrange/guard_test.go
@@ -31,8 +31,10 @@
 	// pending holds the commits without an answer, by purpose, and calls the calls without an outcome.
 	pending map[ibisrange.Purpose]ibisrange.CommitEffect
 	calls   []ibisrange.CallEffect
-	grant   ibisrange.GrantEffect
-	start   ibisrange.CallStartEffect
+	// leasesRead reports that the leases are to be read since it was last reset.
+	leasesRead bool
+	grant      ibisrange.GrantEffect
+	start      ibisrange.CallStartEffect
 }
 
 func newFixture(delivery ibisrange.Delivery) *fixture {
@@ -71,6 +73,8 @@
 			f.pending[x.Purpose] = x
 		case ibisrange.CallEffect:
 			f.calls = append(f.calls, x)
+		case ibisrange.ReadEffect:
+			f.leasesRead = f.leasesRead || x.Leases
 		case ibisrange.GrantEffect:
 			f.grant = x
 		case ibisrange.CallStartEffect:
@@ -257,6 +261,17 @@
 		Expect(f.pending).To(HaveKey(ibisrange.PurposeTakeover))
 	})
 
+	// Guards against a takeover that waited for the next regular read of the leases.
+	It("are read once another one should have ended", func() {
+		f := serving(ibisrange.DeliveryHeartbeat)
+		f.readLeases(7, f.storeClock()+time.Second)
+		f.leasesRead = false
+		f.pass(time.Second)
+		Expect(f.leasesRead).To(BeFalse())
+		f.pass(takeoverSlack)
+		Expect(f.leasesRead).To(BeTrue())
+	})
+
 	It("are not renewed by a heartbeat of an earlier run, or one that is older than another", func() {
 		f := serving(ibisrange.DeliveryHeartbeat)
 		Expect(f.beat(ibisrange.HeartbeatEvent{}).Renews).To(BeTrue())
--- a/internal/relay/ibisrange/manager.go
+++ b/internal/relay/ibisrange/manager.go
@@ -313,7 +313,7 @@
 		return
 	}
 	pages := m.pageStale || m.refreshRequested || m.pageKnown && !m.pageStands() && m.survivor == nil
-	leases := now.Sub(m.leasesReadAt) >= m.leaseReadInterval()
+	leases := now.Sub(m.leasesReadAt) >= m.leaseReadInterval() || m.expectsLapse(now)
 	if !pages && !leases {
 		return
 	}
@@ -337,5 +337,21 @@
 	return 2 * m.config.RenewInterval
 }
 
+// expectsLapse reports whether another node's lease, as last read, should have lapsed by now, which only a read can show. Only nodes
+// that read the leases often look for that, so that a lapse causes few reads.
+func (m *Manager) expectsLapse(now time.Time) bool {
+	if m.rank() >= frequentReaders || now.Sub(m.leasesReadAt) < retryDelay {
+		return false
+	}
+	for _, p := range m.peers {
+		atNow := p
+		atNow.seenAt = m.clock.latest(now)
+		if p.version != 0 && !m.lapsed(p) && m.lapsed(atNow) {
+			return true
+		}
+	}
+	return false
+}
+
 // PageVersion returns the version of the page's row, or zero if no page is known.
 func (m *Manager) PageVersion() uint64 { return m.pageVersion }
