Gates report the rate limit that their backend server names

The client of the backend server now decodes Server-Limit into a notice on the answer; the gate keeps it per incarnation, logs its beginning and end with the counts of admitted and refused requests, and exports ibisridge_gate_rate_limit. A malformed header and a 421, which another server at the address may have sent, say nothing.

--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -72,7 +72,9 @@
 	waiting       map[ibisadmit.RequestID]chan decision
 	tickScheduled bool
 	link          link
-	stats         Stats
+	// notice is what the backend server last said about itself.
+	notice ibismessage.ServerNotice
+	stats  Stats
 }
 
 // Stats contains the counts of admission decisions since the start, and the current load.
@@ -85,6 +87,8 @@
 	Running int
 	// Waiting is the number of requests that wait for a slot.
 	Waiting int
+	// RateLimit is the number of requests per second that the backend server names as its limit, zero if it names none.
+	RateLimit float64
 	// LinkBytes is the number of bytes of buffered answers that wait for the link.
 	LinkBytes int
 }
@@ -141,6 +145,7 @@
 	s := g.stats
 	s.Waiting = len(g.waiting)
 	s.LinkBytes = g.link.heldBytes
+	s.RateLimit = g.notice.RateLimit.Or(0)
 	if g.gate != nil {
 		s.Running = g.gate.Running()
 	}
@@ -184,6 +189,7 @@
 		return ibismessage.NotRun(ibismessage.ReasonStopping, 0, nil)
 	}
 	answer := g.send(ctx, order, incarnation, left, expectedBytes)
+	g.applyNotice(incarnation, answer.Notice)
 	end.Latency = g.clock.Now().Sub(began)
 	if answer.Outcome != ibisid.OutcomeDone {
 		if answer.Reason == ibismessage.ReasonServerEnded {
--- a/internal/relay/ibisadmission/rules.go
+++ b/internal/relay/ibisadmission/rules.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
@@ -32,6 +33,9 @@
 	defer g.mu.Unlock()
 	g.coldUntil = now.Add(coldFor)
 	replaced := server.Incarnation != g.server.Incarnation || server.Slots != g.server.Slots || server.Service != g.server.Service
+	if server.Incarnation != g.server.Incarnation {
+		g.notice = ibismessage.ServerNotice{}
+	}
 	g.server = server
 	if g.rules == nil {
 		return
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 )
 
 // Reason is why an order was not run, or why its result is unknown.
@@ -75,6 +76,8 @@
 	Arrived bool
 	// Load is the number of running and waiting requests at the node's admission, divided by its limit; negative if unknown.
 	Load float64
+	// Notice is what the backend server says about itself, absent if no answer of it arrived or its headers can't be read.
+	Notice ibisset.Option[ServerNotice]
 	// Node is the node that the answer came from, empty if no node was asked.
 	Node ibisid.NodeName
 	// Status is the backend server's HTTP status.
