--- /dev/null
+++ b/internal/relay/ibisadmission/notice_test.go
@@ -0,0 +1,134 @@
+package ibisadmission_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisadmission"
+	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisrange"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+)
+
+// noticeServer answers each order at once and adds its notice.
+type noticeServer struct {
+	clock ibistimer.Service
+
+	mu     sync.Mutex
+	notice ibismessage.ServerNotice
+	at     []time.Time
+}
+
+func (s *noticeServer) Send(context.Context, ibismessage.Order, ibisroster.ServerIncarnation, time.Duration) ibismessage.Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at = append(s.at, s.clock.Now())
+	answer := okAnswer()
+	answer.Notice = ibisset.Some(s.notice)
+	return answer
+}
+
+func (s *noticeServer) setNotice(notice ibismessage.ServerNotice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notice = notice
+}
+
+// arrivals returns the number of orders that arrived from the given time on.
+func (s *noticeServer) arrivals(from time.Time) []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []time.Time
+	for _, t := range s.at {
+		if !t.Before(from) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// mostWithin returns the greatest number of times in any window of the length.
+func mostWithin(window time.Duration, at []time.Time) int {
+	most := 0
+	for i := range at {
+		n := 0
+		for _, t := range at[i:] {
+			if t.Sub(at[i]) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func rateLimit(perSecond float64) ibismessage.ServerNotice {
+	return ibismessage.ServerNotice{
+		RateLimit: ibisset.Some(perSecond),
+	}
+}
+
+var _ = Describe("A Guard whose backend server names a rate limit", func() {
+	const step = 20 * time.Millisecond
+	var (
+		clock  *ibistimer.Fake
+		server *noticeServer
+		guard  *ibisadmission.Guard
+		sent   uint64
+		hint   ibismessage.Order
+	)
+
+	BeforeEach(func() {
+		clock = ibistimer.NewFake(time.Unix(1_000_000, 0))
+		server = &noticeServer{clock: clock}
+		keys := &ownership{keyState: ibisrange.KeyStateHeld, changed: make(chan struct{})}
+		guard = ibisadmission.New(server, keys, ibisadmission.Limits{AnswerBytes: 1 << 20, LinkRate: 1e6}, clock, zap.NewNop())
+		guard.SetRules(ibisadmission.Rules{Connections: 130})
+		guard.SetServer(ibisroster.Server{Incarnation: ibisroster.ServerIncarnation{ID: "s1", StartedAt: 1}, Service: "desk", Slots: 12, State: ibisroster.StateServing}, 0)
+		sent, hint = 0, ibismessage.Order{}
+	})
+
+	// settled reports whether each order so far waits, was refused or has its answer.
+	settled := func() bool {
+		s := guard.Stats()
+		return s.Admitted+s.Refused+uint64(s.Waiting) == sent && s.Running == 0
+	}
+
+	// load sends an order in each step for the duration.
+	load := func(d time.Duration) {
+		for end := clock.Now().Add(d); clock.Now().Before(end); clock.Advance(step) {
+			sent++
+			o := hint
+			o.ID, o.Service, o.Class, o.Key = "r", "desk", "look", ibismessage.NoKey
+			o.Target, o.Deadline = clock.Now().Add(time.Second), clock.Now().Add(5*time.Second)
+			go func() {
+				if a := guard.Send(context.Background(), o); a.Outcome == ibisid.OutcomeDone {
+					_, _ = io.ReadAll(a.Body)
+					_ = a.Body.Close()
+				}
+			}()
+			Eventually(settled).WithPolling(50 * time.Microsecond).Should(BeTrue())
+		}
+	}
+
+	for _, perSecond := range []float64{11.3, 2.5} {
+		It("sends it no more than that, counted over all callers", func() {
+			load(time.Second)
+			server.setNotice(rateLimit(perSecond))
+			named := clock.Now()
+			load(8 * time.Second)
+			after := server.arrivals(named.Add(time.Second))
+			Expect(mostWithin(4*time.Second, after)).To(BeNumerically("<=", 1.5*perSecond*4+5))
+			Expect(len(after)).To(BeNumerically(">=", 0.8*perSecond*7), "the limit is used")
+		})
+	}
+})
