ibisadmit: a gate admits no more than the rate that its server names

Callers saw: backend servers that had named a limit of 11.3 and 11.5 requests a second got 104 and 110 requests in 4 s (73 and 74 allowed); in need, they were loaded as before. Cause: Server-Limit went through to callers like any other header, and no node read it; gates admitted by slots, connections and the announced cold period alone. Class: a promise that only the server's answers carry, with no way from the answer to the place that decides on admission. Ruled out: counts that start anew at a change of the configuration (no jump after 12.0 s in the record), ways past the gate (arrivals didn't exceed what gates admitted).

Change: the gate beside the server, which every request from every node passes, applies the last named limit as a token bucket with a quarter of a second's burst, from the next admission on, and until an answer names another limit or none. Waiting requests that the limit leaves no time for are refused at once, and new ones get the time after which there is room. The gate's load counts what runs against what runs at the limit, so that other nodes prefer other servers. A server that names less than one request in 4 s still gets that one: only an answer tells that the limit ends.

--- a/internal/relay/ibisadmission/notice.go
+++ b/internal/relay/ibisadmission/notice.go
@@ -1,11 +1,14 @@
 package ibisadmission
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
 
 // applyNotice applies what an incarnation of the backend server said about itself in an answer; an absent notice changes nothing.
@@ -22,6 +25,18 @@
 	before := g.notice
 	g.notice = notice
 	g.logRateLimit(before, notice)
+	g.applyRateLimit(g.clock.Now())
+}
+
+// applyRateLimit applies the rate limit that the backend server names to the gate; g.mu is held.
+func (g *Guard) applyRateLimit(now time.Time) {
+	perSecond, limited := g.notice.RateLimit.Get()
+	if g.gate != nil {
+		g.apply(ibisadmit.RateLimitEvent{
+			Limited:   limited,
+			PerSecond: perSecond,
+		}, now)
+	}
 }
 
 // logRateLimit logs when the backend server begins and ceases to name a rate limit, with the number of requests admitted until then.
--- a/internal/relay/ibisadmission/notice_test.go
+++ b/internal/relay/ibisadmission/notice_test.go
@@ -131,4 +131,34 @@
 			Expect(len(after)).To(BeNumerically(">=", 0.8*perSecond*7), "the limit is used")
 		})
 	}
+
+	It("sends it as much as before once its answers name none", func() {
+		server.setNotice(rateLimit(5))
+		load(2 * time.Second)
+		server.setNotice(ibismessage.ServerNotice{})
+		load(2 * time.Second)
+		Expect(len(server.arrivals(clock.Now().Add(-time.Second)))).To(BeNumerically(">=", 45), "one every 20 ms")
+	})
+
+	It("learns from a request now and then that a server that takes none takes some again", func() {
+		server.setNotice(rateLimit(0))
+		load(8 * time.Second)
+		Expect(len(server.arrivals(clock.Now().Add(-7 * time.Second)))).To(BeNumerically("<=", 2))
+		server.setNotice(ibismessage.ServerNotice{})
+		load(6 * time.Second)
+		Expect(len(server.arrivals(clock.Now().Add(-time.Second)))).To(BeNumerically(">=", 45))
+	})
+
+	It("keeps the limit when the gate is replaced for another number of slots, and has none for a server that has started anew", func() {
+		server.setNotice(rateLimit(10))
+		load(2 * time.Second)
+		next := ibisroster.Server{Incarnation: ibisroster.ServerIncarnation{ID: "s1", StartedAt: 1}, Service: "desk", Slots: 6, State: ibisroster.StateServing}
+		guard.SetServer(next, 0)
+		replaced := clock.Now()
+		load(2 * time.Second)
+		Expect(len(server.arrivals(replaced))).To(BeNumerically("<=", 22), "two seconds and a burst")
+		next.Incarnation.StartedAt = 2
+		guard.SetServer(next, 0)
+		Expect(guard.Stats().RateLimit).To(BeZero())
+	})
 })
--- a/internal/relay/ibisadmission/rules.go
+++ b/internal/relay/ibisadmission/rules.go
@@ -55,6 +55,7 @@
 		g.apply(ibisadmit.DrainEvent{}, now)
 	}
 	g.gate = ibisadmit.New(GateConfig(g.server.Slots, g.rules.Connections, g.rules.Sharded, g.rules.Policy), now)
+	g.applyRateLimit(now)
 }
 
 // GateConfig returns the gate configuration of a backend server with so many slots and accepted connections.
--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -125,7 +125,7 @@
 	if totalAhead == 0 && g.hasRoom(q, now) {
 		return 0
 	}
-	return max(time.Duration(wait), g.coldRate.wait(totalAhead+1, now))
+	return max(time.Duration(wait), g.coldRate.wait(totalAhead+1, now), g.serverRate.wait(totalAhead+1, now))
 }
 
 func (g *Gate) refuse(id RequestID, reason Reason, retryAfter time.Duration) {
--- a/internal/request/ibisadmit/cold_test.go
+++ b/internal/request/ibisadmit/cold_test.go
@@ -65,6 +65,40 @@
 	})
 })
 
+var _ = Describe("A gate whose server names a rate limit", func() {
+	It("refuses at once what the limit leaves no time for, with the time after which there is room", func() {
+		b := newHarness(ibisadmit.Config{Algorithm: ibisadmit.AlgorithmFixed})
+		b.update(ibisadmit.RateLimitEvent{Limited: true, PerSecond: 4})
+		for range 5 {
+			b.arrive("t", "read", time.Second)
+		}
+		Expect(b.admitted).To(HaveLen(1))
+		Expect(b.refused).To(BeEmpty(), "one second of the limit waits")
+		last := b.arrive("t", "read", time.Second)
+		Expect(b.refused).To(HaveLen(1))
+		Expect(b.refused[last].Reason).To(Equal(ibisadmit.ReasonDeadline))
+		Expect(b.refused[last].RetryAfter).To(Equal(1250 * time.Millisecond))
+	})
+
+	It("refuses waiting requests at once when a limit that leaves them no time begins", func() {
+		b := newHarness(ibisadmit.Config{Algorithm: ibisadmit.AlgorithmFixed})
+		for range 15 {
+			b.arrive("t", "read", time.Second)
+		}
+		b.update(ibisadmit.RateLimitEvent{Limited: true, PerSecond: 2})
+		Expect(b.refused).To(HaveLen(2), "at two a second three of the five start within a second: at once, after half of it and at its end")
+	})
+
+	It("reports a load that counts what runs against what runs at the limit", func() {
+		b := newHarness(ibisadmit.Config{Algorithm: ibisadmit.AlgorithmFixed})
+		b.warmUp(10)
+		before := b.Load(b.now)
+		b.update(ibisadmit.RateLimitEvent{Limited: true, PerSecond: 1})
+		b.arrive("t", "read", time.Second)
+		Expect(b.Load(b.now)).To(BeNumerically(">", max(1, before)))
+	})
+})
+
 var _ = Describe("A gate whose requests have a target time", func() {
 	It("refuses on arrival requests that would wait past their target, and queues the others", func() {
 		b := newHarness(ibisadmit.Config{Algorithm: ibisadmit.AlgorithmFixed})
--- a/internal/request/ibisadmit/dispatch.go
+++ b/internal/request/ibisadmit/dispatch.go
@@ -27,6 +27,7 @@
 	}
 	q.running++
 	g.coldRate.recordAdmission(now)
+	g.serverRate.recordAdmission(now)
 	g.running[w.id] = runningRequest{
 		queue:      q,
 		admittedAt: now,
@@ -37,9 +38,10 @@
 	})
 }
 
-// hasRoom reports whether the limit, the share of the queue's class and the rate of a cold server allow another admission.
+// hasRoom reports whether the limit, the share of the queue's class, the rate of a cold server and the server's own rate limit
+// allow another admission.
 func (g *Gate) hasRoom(q *classQueue, now time.Time) bool {
-	if g.coldRate.full(now) {
+	if g.coldRate.full(now) || g.serverRate.full(now) {
 		return false
 	}
 	limit := g.limit.bound(now)
--- a/internal/request/ibisadmit/event.go
+++ b/internal/request/ibisadmit/event.go
@@ -68,6 +68,14 @@
 	Duration time.Duration
 }
 
+// RateLimitEvent reports the rate that the backend server names as its limit for all nodes together.
+type RateLimitEvent struct {
+	// Limited reports that the server names a limit.
+	Limited bool
+	// PerSecond is the limit in requests per second.
+	PerSecond float64
+}
+
 // DrainEvent ends admission permanently: waiting requests are refused, running requests finish, and a DrainedEffect
 // follows the last one.
 type DrainEvent struct{}
@@ -104,6 +112,7 @@
 func (CancelEvent) gateEvent()       {}
 func (IdleClosedEvent) gateEvent()   {}
 func (ColdEvent) gateEvent()         {}
+func (RateLimitEvent) gateEvent()    {}
 func (DrainEvent) gateEvent()        {}
 func (DomainEvent) gateEvent()       {}
 func (PolicyEvent) gateEvent()       {}
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -36,6 +36,7 @@
 	drained         bool
 	domainOut       bool
 	coldRate        coldRateLimit
+	serverRate      serverRate
 	effects         []Effect
 }
 
@@ -88,10 +89,12 @@
 // Connections returns the number of open connections to the backend server.
 func (g *Gate) Connections() int { return g.openConnections }
 
-// Load returns the number of requests that run or wait as a fraction of the limit. Answers report it to the nodes that
+// Load returns the number of requests that run or wait as a fraction of the limit, or of what runs at the server's own rate limit
+// if that is less. Answers report it to the nodes that
 // choose between backend servers.
 func (g *Gate) Load(now time.Time) float64 {
-	return float64(len(g.running)+g.Waiting()) / float64(g.limit.bound(now))
+	capacity := g.serverRate.concurrency(g.meanSlotTime(), float64(g.limit.bound(now)))
+	return float64(len(g.running)+g.Waiting()) / capacity
 }
 
 // Limit returns the number of requests that may run at the given time.
@@ -105,6 +108,23 @@
 	return defaultSlotTime
 }
 
+// meanSlotTime returns the mean time that requests hold a slot over the classes that ended, weighted by their numbers; zero if
+// there is none.
+func (g *Gate) meanSlotTime() time.Duration {
+	total, count := 0.0, 0.0
+	for _, q := range g.queues {
+		if t := g.timings[q.name]; t != nil && !q.late {
+			n := float64(t.slotTime.Count())
+			total += n * t.slotTime.Value()
+			count += n
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return time.Duration(total / count)
+}
+
 // Update applies one event and returns the resulting effects in order.
 func (g *Gate) Update(event Event, now time.Time) []Effect {
 	g.effects = nil
@@ -122,6 +142,9 @@
 		g.openConnections = max(len(g.running), g.openConnections-e.Count)
 	case ColdEvent:
 		g.startColdPeriod(e, now)
+	case RateLimitEvent:
+		g.serverRate.set(e, now)
+		g.shed(now)
 	case DrainEvent:
 		g.draining = true
 		g.refuseAll(ReasonDraining)
