A restarted gate hears of the rate limit from the other nodes

Change: answers between nodes carry what the backend server last said about itself, and its incarnation; the sender of an order repeats it to the node until an answer says nothing or the server has been replaced, also across the node's restart. A gate that has heard nothing from its server believes the order. Answers and orders without a limit have no bytes more.

Weighed: a row in the table (a write a restart, and a read before the first request), and the health check, which is not said to name the limit.

--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisrange"
@@ -72,8 +73,8 @@
 	waiting       map[ibisadmit.RequestID]chan decision
 	tickScheduled bool
 	link          link
-	// notice is what the backend server last said about itself.
-	notice ibismessage.ServerNotice
+	// notice is what the backend server last said about itself, absent before its first answer.
+	notice ibisset.Option[ibismessage.ServerNotice]
 	stats  Stats
 }
 
@@ -145,7 +146,7 @@
 	s := g.stats
 	s.Waiting = len(g.waiting)
 	s.LinkBytes = g.link.heldBytes
-	s.RateLimit = g.notice.RateLimit.Or(0)
+	s.RateLimit = g.notice.Or(ibismessage.ServerNotice{}).RateLimit.Or(0)
 	if g.gate != nil {
 		s.Running = g.gate.Running()
 	}
@@ -155,13 +156,13 @@
 // Send runs an order on the own backend server and returns its answer, or a refusal with its reason.
 func (g *Guard) Send(ctx context.Context, order ibismessage.Order) ibismessage.Answer {
 	if refusal, ok := g.awaitKey(ctx, order); !ok {
-		return g.withLoad(refusal)
+		return g.withState(refusal)
 	}
 	id, incarnation, refusal, ok := g.admit(ctx, order)
 	if !ok {
-		return g.withLoad(refusal)
+		return g.withState(refusal)
 	}
-	return g.withLoad(g.run(ctx, order, id, incarnation))
+	return g.withState(g.run(ctx, order, id, incarnation))
 }
 
 // run sends an admitted order and returns its answer. The slot is free again, after a panic too, unless the answer has a body,
@@ -189,7 +190,7 @@
 		return ibismessage.NotRun(ibismessage.ReasonStopping, 0, nil)
 	}
 	answer := g.send(ctx, order, incarnation, left, expectedBytes)
-	g.applyNotice(incarnation, answer.Notice)
+	g.hear(answer.Notice)
 	end.Latency = g.clock.Now().Sub(began)
 	if answer.Outcome != ibisid.OutcomeDone {
 		if answer.Reason == ibismessage.ReasonServerEnded {
@@ -258,12 +259,14 @@
 	return b.body.Close()
 }
 
-// withLoad returns the answer with the present load of the gate, which other nodes use to choose a backend server.
-func (g *Guard) withLoad(a ibismessage.Answer) ibismessage.Answer {
+// withState returns the answer with the present load of the gate, which other nodes use to choose a backend server, and with what
+// the backend server last said about itself, which they keep for the gate.
+func (g *Guard) withState(a ibismessage.Answer) ibismessage.Answer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.gate != nil {
 		a.Load = g.gate.Load(g.clock.Now())
 	}
+	a.Notice = g.notice
 	return a
 }
--- a/internal/relay/ibisadmission/notice.go
+++ b/internal/relay/ibisadmission/notice.go
@@ -7,30 +7,42 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
-	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
 
-// applyNotice applies what an incarnation of the backend server said about itself in an answer; an absent notice changes nothing.
-func (g *Guard) applyNotice(incarnation ibisroster.ServerIncarnation, said ibisset.Option[ibismessage.ServerNotice]) {
+// hear applies what the backend server said about itself in an answer; an absent notice changes nothing.
+func (g *Guard) hear(said ibisset.Option[ibismessage.ServerNotice]) {
 	notice, ok := said.Get()
 	if !ok {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if incarnation != g.server.Incarnation || notice == g.notice {
+	g.applyNotice(notice)
+}
+
+// hearSender applies what the sender of an order last heard from the backend server, as long as no answer has arrived from it since
+// the node started; g.mu is held.
+func (g *Guard) hearSender(notice ibismessage.ServerNotice) {
+	if _, heard := g.notice.Get(); !heard && !notice.IsEmpty() {
+		g.applyNotice(notice)
+	}
+}
+
+// applyNotice applies what the present incarnation of the backend server said about itself; g.mu is held.
+func (g *Guard) applyNotice(notice ibismessage.ServerNotice) {
+	before, heard := g.notice.Get()
+	if notice.Server != g.server.Incarnation || heard && notice == before {
 		return
 	}
-	before := g.notice
-	g.notice = notice
+	g.notice = ibisset.Some(notice)
 	g.logRateLimit(before, notice)
 	g.applyRateLimit(g.clock.Now())
 }
 
 // applyRateLimit applies the rate limit that the backend server names to the gate; g.mu is held.
 func (g *Guard) applyRateLimit(now time.Time) {
-	perSecond, limited := g.notice.RateLimit.Get()
+	perSecond, limited := g.notice.Or(ibismessage.ServerNotice{}).RateLimit.Get()
 	if g.gate != nil {
 		g.apply(ibisadmit.RateLimitEvent{
 			Limited:   limited,
--- a/internal/relay/ibisadmission/notice_test.go
+++ b/internal/relay/ibisadmission/notice_test.go
@@ -26,17 +26,36 @@
 	mu     sync.Mutex
 	notice ibismessage.ServerNotice
 	at     []time.Time
+	// held, if not nil, holds back all answers until it is closed.
+	held chan struct{}
 }
 
-func (s *noticeServer) Send(context.Context, ibismessage.Order, ibisroster.ServerIncarnation, time.Duration) ibismessage.Answer {
+func (s *noticeServer) Send(_ context.Context, _ ibismessage.Order, incarnation ibisroster.ServerIncarnation, _ time.Duration) ibismessage.Answer {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.at = append(s.at, s.clock.Now())
+	held := s.held
+	s.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	answer := okAnswer()
-	answer.Notice = ibisset.Some(s.notice)
+	notice := s.notice
+	notice.Server = incarnation
+	answer.Notice = ibisset.Some(notice)
 	return answer
 }
 
+// hold holds back all answers until the end of the spec.
+func (s *noticeServer) hold() {
+	held := make(chan struct{})
+	DeferCleanup(func() { close(held) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = held
+}
+
 func (s *noticeServer) setNotice(notice ibismessage.ServerNotice) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,19 +122,21 @@
 		return s.Admitted+s.Refused+uint64(s.Waiting) == sent && s.Running == 0
 	}
 
+	sendOne := func() {
+		o := hint
+		o.ID, o.Service, o.Class, o.Key = "r", "desk", "look", ibismessage.NoKey
+		o.Target, o.Deadline = clock.Now().Add(time.Second), clock.Now().Add(5*time.Second)
+		if a := guard.Send(context.Background(), o); a.Outcome == ibisid.OutcomeDone {
+			_, _ = io.ReadAll(a.Body)
+			_ = a.Body.Close()
+		}
+	}
+
 	// load sends an order in each step for the duration.
 	load := func(d time.Duration) {
 		for end := clock.Now().Add(d); clock.Now().Before(end); clock.Advance(step) {
 			sent++
-			o := hint
-			o.ID, o.Service, o.Class, o.Key = "r", "desk", "look", ibismessage.NoKey
-			o.Target, o.Deadline = clock.Now().Add(time.Second), clock.Now().Add(5*time.Second)
-			go func() {
-				if a := guard.Send(context.Background(), o); a.Outcome == ibisid.OutcomeDone {
-					_, _ = io.ReadAll(a.Body)
-					_ = a.Body.Close()
-				}
-			}()
+			go sendOne()
 			Eventually(settled).WithPolling(50 * time.Microsecond).Should(BeTrue())
 		}
 	}
@@ -149,6 +170,31 @@
 		Expect(len(server.arrivals(clock.Now().Add(-time.Second)))).To(BeNumerically(">=", 45))
 	})
 
+	It("keeps to it from its first request on after the node has restarted, as other nodes repeat what they heard", func() {
+		server.setNotice(rateLimit(2))
+		hint.Notice = rateLimit(2)
+		hint.Notice.Server = ibisroster.ServerIncarnation{ID: "s1", StartedAt: 1}
+		server.hold()
+		sent = 12
+		for range sent {
+			go sendOne()
+		}
+		Eventually(func() int {
+			return len(server.arrivals(time.Time{})) + guard.Stats().Waiting + int(guard.Stats().Refused)
+		}).Should(Equal(12))
+		Expect(server.arrivals(time.Time{})).To(HaveLen(1))
+		Expect(guard.Stats().RateLimit).To(BeEquivalentTo(2))
+	})
+
+	It("ignores what other nodes heard from an earlier run of the server, or before its own last answer", func() {
+		hint.Notice = rateLimit(2)
+		hint.Notice.Server = ibisroster.ServerIncarnation{ID: "s1", StartedAt: 0}
+		load(step)
+		hint.Notice.Server.StartedAt = 1
+		load(step)
+		Expect(guard.Stats().RateLimit).To(BeZero())
+	})
+
 	It("keeps the limit when the gate is replaced for another number of slots, and has none for a server that has started anew", func() {
 		server.setNotice(rateLimit(10))
 		load(2 * time.Second)
--- a/internal/relay/ibisadmission/rules.go
+++ b/internal/relay/ibisadmission/rules.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
@@ -34,7 +35,7 @@
 	g.coldUntil = now.Add(coldFor)
 	replaced := server.Incarnation != g.server.Incarnation || server.Slots != g.server.Slots || server.Service != g.server.Service
 	if server.Incarnation != g.server.Incarnation {
-		g.notice = ibismessage.ServerNotice{}
+		g.notice = ibisset.None[ibismessage.ServerNotice]()
 	}
 	g.server = server
 	if g.rules == nil {
--- a/internal/relay/ibisdispatch/attempt.go
+++ b/internal/relay/ibisdispatch/attempt.go
@@ -30,8 +30,10 @@
 			d.recordDone(chooser, end)
 		}
 	}()
+	order.Notice = d.notice(member.Node)
 	answer := d.peers.Send(ctx, member, order)
 	answer.Node = member.Node
+	d.recordNotice(member.Node, answer)
 	latency := d.clock.Now().Sub(began)
 	if answer.Outcome == ibisid.OutcomeDone {
 		answer = bufferAnswerStart(answer)
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -81,6 +81,8 @@
 	random      *rand.Rand
 	nextID      ibisbalancer.AttemptID
 	unreachable ibisset.Set[ibisid.NodeName]
+	// notices holds what backend servers say about themselves, by node, unless that is empty.
+	notices map[ibisid.NodeName]ibismessage.ServerNotice
 }
 
 // pageView is an ownership page with the version of its row.
@@ -105,6 +107,7 @@
 		retryBudget: ibisretrypolicy.NewBudget(),
 		callerAges:  ibisretrypolicy.NewCallerAges(),
 		unreachable: make(ibisset.Set[ibisid.NodeName]),
+		notices:     make(map[ibisid.NodeName]ibismessage.ServerNotice),
 	}
 }
 
@@ -169,6 +172,7 @@
 	before := d.roster.Revision()
 	change(d.roster)
 	if d.roster.Revision() != before {
+		d.discardNotices()
 		d.refresh()
 	}
 }
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -140,6 +140,39 @@
 		})
 	}
 
+	It("repeats to a node what its backend server said last, until it says nothing or has been replaced", func() {
+		limited := ibismessage.ServerNotice{
+			Server:    ibisroster.ServerIncarnation{ID: "s-f", StartedAt: 1},
+			RateLimit: ibisset.Some(2.5),
+		}
+		said := ibisset.Some(limited)
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer {
+			a := done(200, "whole")
+			a.Notice = said
+			return a
+		}
+		// repeated serves a request and returns the notice that went out with it.
+		repeated := func() ibismessage.ServerNotice {
+			serve("/key/1")
+			return p.orders[len(p.orders)-1].Notice
+		}
+		restarted := member("f", "western", "colombo-a", "floor")
+		Expect(repeated().IsEmpty()).To(BeTrue())
+		dispatcher.UpdateRoster(func(r *ibisroster.Roster) { r.Remove("f", 7) })
+		dispatcher.UpdateRoster(func(r *ibisroster.Roster) { r.Put(restarted, 8) })
+		said = ibisset.None[ibismessage.ServerNotice]()
+		Expect(repeated()).To(Equal(limited), "the node has restarted, its server has not")
+		Expect(repeated()).To(Equal(limited), "the last answer said nothing that can be read")
+		said = ibisset.Some(ibismessage.ServerNotice{})
+		Expect(repeated()).To(Equal(limited))
+		Expect(repeated().IsEmpty()).To(BeTrue())
+		said = ibisset.Some(limited)
+		repeated()
+		restarted.Server.Incarnation.StartedAt = 2
+		dispatcher.UpdateRoster(func(r *ibisroster.Roster) { r.Put(restarted, 9) })
+		Expect(repeated().IsEmpty()).To(BeTrue())
+	})
+
 	It("never retries a non-idempotent request that may have run", func() {
 		p.answer = func(int, ibisid.NodeName) ibismessage.Answer {
 			return ibismessage.Unknown(ibismessage.ReasonConnectionFailed, nil)
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -18,10 +18,12 @@
 	"golang.org/x/time/rate"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisforward"
 	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 )
 
 func TestForward(t *testing.T) {
@@ -104,9 +106,14 @@
 			return ibismessage.Answer{
 				Outcome: ibisid.OutcomeDone, Arrived: true, Status: http.StatusCreated, Length: 4, Load: 0.5,
 				Header: http.Header{"Server-Seal": {"x"}}, Body: io.NopCloser(bytes.NewReader([]byte("done"))),
+				Notice: ibisset.Some(o.Notice),
 			}
 		})
 		sent := order()
+		sent.Notice = ibismessage.ServerNotice{
+			Server:    ibisroster.ServerIncarnation{ID: "s1", StartedAt: 7},
+			RateLimit: ibisset.Some(2.5),
+		}
 		answer := client.Send(context.Background(), address, sent)
 		Expect(answer.Outcome).To(Equal(ibisid.OutcomeDone))
 		Expect(answer.Status).To(Equal(http.StatusCreated))
@@ -117,6 +124,8 @@
 		Expect(got.URI).To(Equal(sent.URI))
 		Expect(got.Host).To(Equal(sent.Host))
 		Expect(got.Body).To(Equal(sent.Body))
+		Expect(got.Notice).To(Equal(sent.Notice))
+		Expect(answer.Notice).To(Equal(ibisset.Some(sent.Notice)))
 		Expect(got.Header.Get("Shop")).To(Equal("7"))
 		Expect(got.Header).NotTo(HaveKey("X-Ibis-Order"))
 		Expect([]any{got.ID, got.Origin, got.Service, got.Class, got.Priority, got.Key}).
--- a/internal/relay/ibisforward/wire.go
+++ b/internal/relay/ibisforward/wire.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 )
 
 const (
@@ -29,6 +31,7 @@
 	PageVersion uint64             `json:"pageVersion,omitempty"`
 	TargetMs    int64              `json:"targetMs"`
 	LeftMs      int64              `json:"leftMs"`
+	Notice      *noticeHeader      `json:"notice,omitempty"`
 }
 
 // answerHeader contains the fields of an answer that the HTTP response itself does not carry.
@@ -40,6 +43,43 @@
 	PageVersion  uint64             `json:"pageVersion,omitempty"`
 	Arrived      bool               `json:"arrived,omitempty"`
 	Load         float32            `json:"load"`
+	// Notice is absent in the answer of a backend server that says nothing about itself.
+	Notice *noticeHeader `json:"notice,omitempty"`
+}
+
+// noticeHeader contains what a backend server says about itself.
+type noticeHeader struct {
+	Server ibisroster.ServerIncarnation `json:"server"`
+	// PerSecond is the server's rate limit in requests per second.
+	PerSecond *float64 `json:"perSecond,omitempty"`
+}
+
+// encodeNotice returns the header of a notice, nil if it is empty.
+func encodeNotice(n ibismessage.ServerNotice) *noticeHeader {
+	if n.IsEmpty() {
+		return nil
+	}
+	h := &noticeHeader{
+		Server: n.Server,
+	}
+	if perSecond, ok := n.RateLimit.Get(); ok {
+		h.PerSecond = &perSecond
+	}
+	return h
+}
+
+// decodeNotice returns the notice in a header, empty if there is none.
+func decodeNotice(h *noticeHeader) ibismessage.ServerNotice {
+	if h == nil {
+		return ibismessage.ServerNotice{}
+	}
+	n := ibismessage.ServerNotice{
+		Server: h.Server,
+	}
+	if h.PerSecond != nil {
+		n.RateLimit = ibisset.Some(*h.PerSecond)
+	}
+	return n
 }
 
 func encodeOrder(order ibismessage.Order, now time.Time) http.Header {
@@ -58,6 +98,7 @@
 		PageVersion: order.PageVersion,
 		TargetMs:    order.Target.Sub(now).Milliseconds(),
 		LeftMs:      order.Deadline.Sub(now).Milliseconds(),
+		Notice:      encodeNotice(order.Notice),
 	})
 	if err != nil {
 		panic(fmt.Sprintf("order %s can't be encoded: %v", order.ID, err))
@@ -93,6 +134,7 @@
 		Repeatable:  h.Repeatable,
 		Key:         h.Key,
 		PageVersion: h.PageVersion,
+		Notice:      decodeNotice(h.Notice),
 		Target:      now.Add(time.Duration(h.TargetMs) * time.Millisecond),
 		Deadline:    now.Add(time.Duration(h.LeftMs) * time.Millisecond),
 	}
@@ -111,6 +153,7 @@
 		PageVersion:  a.PageVersion,
 		Arrived:      a.Arrived,
 		Load:         float32(int(a.Load*100)) / 100,
+		Notice:       encodeNotice(a.Notice.Or(ibismessage.ServerNotice{})),
 	})
 	if err != nil {
 		panic(fmt.Sprintf("answer can't be encoded: %v", err))
@@ -128,6 +171,10 @@
 	default:
 		return ibismessage.Answer{}, fmt.Errorf("decode the answer header: outcome %q is not known", h.Outcome)
 	}
+	notice := ibisset.None[ibismessage.ServerNotice]()
+	if h.Notice != nil || h.Outcome == ibisid.OutcomeDone {
+		notice = ibisset.Some(decodeNotice(h.Notice))
+	}
 	return ibismessage.Answer{
 		Outcome:     h.Outcome,
 		Reason:      h.Reason,
@@ -136,5 +183,6 @@
 		PageVersion: h.PageVersion,
 		Arrived:     h.Arrived,
 		Load:        float64(h.Load),
+		Notice:      notice,
 	}, nil
 }
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -76,7 +76,7 @@
 	Arrived bool
 	// Load is the number of running and waiting requests at the node's admission, divided by its limit; negative if unknown.
 	Load float64
-	// Notice is what the backend server says about itself, absent if no answer of it arrived or its headers can't be read.
+	// Notice is what the node last heard from its backend server, absent if it has heard nothing that it can read.
 	Notice ibisset.Option[ServerNotice]
 	// Node is the node that the answer came from, empty if no node was asked.
 	Node ibisid.NodeName
--- a/internal/relay/ibismessage/order.go
+++ b/internal/relay/ibismessage/order.go
@@ -45,6 +45,9 @@
 	// PageVersion is the version of the page by which the sender chose the node as the key's owner; a node with an older
 	// page reads the page again.
 	PageVersion uint64
+	// Notice is what the sender last heard from the node's backend server, for a node that has heard nothing from it since its own
+	// start; empty if the sender heard nothing.
+	Notice ServerNotice
 	// Target is the time by which the answer has its full value to the caller.
 	Target time.Time
 	// Deadline is the time after which the answer has no value to the caller.
