A backend server that says in its answers that it leaves gets no new work

Cause: Server-Leaving went through to callers unread, like Server-Limit before; a server whose heartbeats are late, or that deregisters only at its end, got new requests from nodes that had passed on its word.

Change: the notice on an answer says so; the gate drains for the rest of the server's run, whatever later answers and heartbeats say, the node writes the server as draining, and every node that passed the answer on chooses it no more, without the store. A restarted gate hears of it in the orders of the others.

Ruled out as a place of the same fault: health checks (503 while the server leaves) and late heartbeats after a restart (verified by the health check).

--- a/internal/relay/ibisadmission/admit.go
+++ b/internal/relay/ibisadmission/admit.go
@@ -38,7 +38,6 @@
 		g.stats.Refused++
 		return 0, ibisroster.ServerIncarnation{}, nil, refusal
 	}
-	g.hearSender(order.Notice)
 	now := g.clock.Now()
 	linkWait := g.link.estimateWait(order.Class)
 	if refusal, ok := g.checkLink(order, linkWait, now); !ok {
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -53,6 +53,8 @@
 	Changed() <-chan struct{}
 	// ReportServerEnded reports an incarnation of the backend server whose port accepts no connections.
 	ReportServerEnded(incarnation ibisroster.ServerIncarnation)
+	// ReportServerLeaving reports an incarnation of the backend server that said in an answer that it stops soon.
+	ReportServerLeaving(incarnation ibisroster.ServerIncarnation)
 }
 
 // Guard admits requests to the backend server of its own instance.
@@ -155,6 +157,7 @@
 
 // Send runs an order on the own backend server and returns its answer, or a refusal with its reason.
 func (g *Guard) Send(ctx context.Context, order ibismessage.Order) ibismessage.Answer {
+	g.hearSender(order.Notice)
 	if refusal, ok := g.awaitKey(ctx, order); !ok {
 		return g.withState(refusal)
 	}
--- a/internal/relay/ibisadmission/guard_test.go
+++ b/internal/relay/ibisadmission/guard_test.go
@@ -72,6 +72,7 @@
 	keyState ibisrange.KeyState
 	changed  chan struct{}
 	ended    []ibisroster.ServerIncarnation
+	leaving  []ibisroster.ServerIncarnation
 	// refreshed is the number of requests for the newest page.
 	refreshed int
 }
@@ -108,6 +109,12 @@
 	o.ended = append(o.ended, incarnation)
 }
 
+func (o *ownership) ReportServerLeaving(incarnation ibisroster.ServerIncarnation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leaving = append(o.leaving, incarnation)
+}
+
 func (o *ownership) setKeyState(state ibisrange.KeyState) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/relay/ibisadmission/notice.go
+++ b/internal/relay/ibisadmission/notice.go
@@ -7,37 +7,57 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
 
 // hear applies what the backend server said about itself in an answer; an absent notice changes nothing.
 func (g *Guard) hear(said ibisset.Option[ibismessage.ServerNotice]) {
-	notice, ok := said.Get()
-	if !ok {
-		return
+	if notice, ok := said.Get(); ok {
+		g.applyNotice(notice, false)
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.applyNotice(notice)
 }
 
 // hearSender applies what the sender of an order last heard from the backend server, as long as no answer has arrived from it since
-// the node started; g.mu is held.
+// the node started.
 func (g *Guard) hearSender(notice ibismessage.ServerNotice) {
-	if _, heard := g.notice.Get(); !heard && !notice.IsEmpty() {
-		g.applyNotice(notice)
+	if !notice.IsEmpty() {
+		g.applyNotice(notice, true)
 	}
 }
 
-// applyNotice applies what the present incarnation of the backend server said about itself; g.mu is held.
-func (g *Guard) applyNotice(notice ibismessage.ServerNotice) {
+// applyNotice applies what the present incarnation of the backend server said about itself, with onlyFirst only if nothing was heard
+// from it before.
+func (g *Guard) applyNotice(notice ibismessage.ServerNotice, onlyFirst bool) {
+	g.mu.Lock()
 	before, heard := g.notice.Get()
-	if notice.Server != g.server.Incarnation || heard && notice == before {
+	if notice.Server != g.server.Incarnation || heard && onlyFirst {
+		g.mu.Unlock()
 		return
 	}
+	// An answer that was sent before the server began to leave may arrive later.
+	notice.Leaving = notice.Leaving || before.Leaving
 	g.notice = ibisset.Some(notice)
-	g.logRateLimit(before, notice)
-	g.applyRateLimit(g.clock.Now())
+	if notice.RateLimit != before.RateLimit {
+		g.logRateLimit(before, notice)
+		g.applyRateLimit(g.clock.Now())
+	}
+	beginsToLeave := notice.Leaving && !before.Leaving
+	if beginsToLeave {
+		g.server.State = ibisroster.StateDraining
+		g.drain()
+	}
+	g.mu.Unlock()
+	if beginsToLeave {
+		g.ownership.ReportServerLeaving(notice.Server)
+	}
+}
+
+// drain ends admission to the present incarnation of the backend server; g.mu is held.
+func (g *Guard) drain() {
+	if g.gate != nil {
+		g.apply(ibisadmit.DrainEvent{}, g.clock.Now())
+	}
 }
 
 // applyRateLimit applies the rate limit that the backend server names to the gate; g.mu is held.
--- a/internal/relay/ibisadmission/notice_test.go
+++ b/internal/relay/ibisadmission/notice_test.go
@@ -96,11 +96,13 @@
 	}
 }
 
-var _ = Describe("A Guard whose backend server names a rate limit", func() {
+var _ = Describe("A Guard whose backend server says something about itself", func() {
 	const step = 20 * time.Millisecond
+	s1 := ibisroster.ServerIncarnation{ID: "s1", StartedAt: 1}
 	var (
 		clock  *ibistimer.Fake
 		server *noticeServer
+		keys   *ownership
 		guard  *ibisadmission.Guard
 		sent   uint64
 		hint   ibismessage.Order
@@ -109,10 +111,10 @@
 	BeforeEach(func() {
 		clock = ibistimer.NewFake(time.Unix(1_000_000, 0))
 		server = &noticeServer{clock: clock}
-		keys := &ownership{keyState: ibisrange.KeyStateHeld, changed: make(chan struct{})}
+		keys = &ownership{keyState: ibisrange.KeyStateHeld, changed: make(chan struct{})}
 		guard = ibisadmission.New(server, keys, ibisadmission.Limits{AnswerBytes: 1 << 20, LinkRate: 1e6}, clock, zap.NewNop())
 		guard.SetRules(ibisadmission.Rules{Connections: 130})
-		guard.SetServer(ibisroster.Server{Incarnation: ibisroster.ServerIncarnation{ID: "s1", StartedAt: 1}, Service: "desk", Slots: 12, State: ibisroster.StateServing}, 0)
+		guard.SetServer(ibisroster.Server{Incarnation: s1, Service: "desk", Slots: 12, State: ibisroster.StateServing}, 0)
 		sent, hint = 0, ibismessage.Order{}
 	})
 
@@ -142,7 +144,7 @@
 	}
 
 	for _, perSecond := range []float64{11.3, 2.5} {
-		It("sends it no more than that, counted over all callers", func() {
+		It("sends it no more than the rate limit that it names, counted over all callers", func() {
 			load(time.Second)
 			server.setNotice(rateLimit(perSecond))
 			named := clock.Now()
@@ -153,7 +155,7 @@
 		})
 	}
 
-	It("sends it as much as before once its answers name none", func() {
+	It("sends it as much as before once its answers name no limit", func() {
 		server.setNotice(rateLimit(5))
 		load(2 * time.Second)
 		server.setNotice(ibismessage.ServerNotice{})
@@ -170,10 +172,10 @@
 		Expect(len(server.arrivals(clock.Now().Add(-time.Second)))).To(BeNumerically(">=", 45))
 	})
 
-	It("keeps to it from its first request on after the node has restarted, as other nodes repeat what they heard", func() {
+	It("keeps to the limit from its first request on after the node has restarted, as other nodes repeat what they heard", func() {
 		server.setNotice(rateLimit(2))
 		hint.Notice = rateLimit(2)
-		hint.Notice.Server = ibisroster.ServerIncarnation{ID: "s1", StartedAt: 1}
+		hint.Notice.Server = s1
 		server.hold()
 		sent = 12
 		for range sent {
@@ -198,7 +200,7 @@
 	It("keeps the limit when the gate is replaced for another number of slots, and has none for a server that has started anew", func() {
 		server.setNotice(rateLimit(10))
 		load(2 * time.Second)
-		next := ibisroster.Server{Incarnation: ibisroster.ServerIncarnation{ID: "s1", StartedAt: 1}, Service: "desk", Slots: 6, State: ibisroster.StateServing}
+		next := ibisroster.Server{Incarnation: s1, Service: "desk", Slots: 6, State: ibisroster.StateServing}
 		guard.SetServer(next, 0)
 		replaced := clock.Now()
 		load(2 * time.Second)
@@ -207,4 +209,31 @@
 		guard.SetServer(next, 0)
 		Expect(guard.Stats().RateLimit).To(BeZero())
 	})
+
+	leaving := func() ibismessage.ServerNotice {
+		return ibismessage.ServerNotice{
+			Leaving: true,
+		}
+	}
+
+	It("sends it nothing more once an answer says that it leaves, whatever later answers and heartbeats say", func() {
+		server.setNotice(leaving())
+		load(step)
+		server.setNotice(ibismessage.ServerNotice{})
+		guard.SetServer(ibisroster.Server{Incarnation: s1, Service: "desk", Slots: 6, State: ibisroster.StateServing}, 0)
+		load(time.Second)
+		Expect(server.arrivals(time.Time{})).To(HaveLen(1))
+		Expect(keys.leaving).To(Equal([]ibisroster.ServerIncarnation{s1}))
+		guard.SetServer(ibisroster.Server{Incarnation: ibisroster.ServerIncarnation{ID: "s1", StartedAt: 2}, Service: "desk", Slots: 6, State: ibisroster.StateServing}, 0)
+		load(time.Second)
+		Expect(len(server.arrivals(time.Time{}))).To(BeNumerically(">", 40), "its next run is another server")
+	})
+
+	It("sends it nothing if the node has restarted and another node heard that it leaves", func() {
+		hint.Notice = leaving()
+		hint.Notice.Server = s1
+		load(time.Second)
+		Expect(server.arrivals(time.Time{})).To(BeEmpty())
+		Expect(keys.leaving).To(Equal([]ibisroster.ServerIncarnation{s1}))
+	})
 })
--- a/internal/relay/ibisadmission/rules.go
+++ b/internal/relay/ibisadmission/rules.go
@@ -37,6 +37,9 @@
 	if server.Incarnation != g.server.Incarnation {
 		g.notice = ibisset.None[ibismessage.ServerNotice]()
 	}
+	if g.notice.Or(ibismessage.ServerNotice{}).Leaving {
+		server.State = ibisroster.StateDraining
+	}
 	g.server = server
 	if g.rules == nil {
 		return
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -288,7 +288,7 @@
 func (d *Dispatcher) updateCandidates(service ibisid.ServiceName) {
 	var candidates []ibisbalancer.Candidate
 	for _, m := range d.roster.ForService(service) {
-		if m.AcceptsWork() && !d.outDomains.Has(m.Place.Domain) && !d.unreachable.Has(m.Node) {
+		if m.AcceptsWork() && !d.isLeaving(m) && !d.outDomains.Has(m.Place.Domain) && !d.unreachable.Has(m.Node) {
 			candidates = append(candidates, Candidate(m.Node, m.Place, m.Server.Slots))
 		}
 	}
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -173,6 +173,33 @@
 		Expect(repeated().IsEmpty()).To(BeTrue())
 	})
 
+	It("chooses no backend server that said in an answer that it leaves, before any row of the store says so", func() {
+		p.answer = func(n int, node ibisid.NodeName) ibismessage.Answer {
+			a := done(200, "whole")
+			if node != "b" {
+				a.Notice = ibisset.Some(ibismessage.ServerNotice{
+					Server:  ibisroster.ServerIncarnation{ID: "s-" + string(node), StartedAt: 1},
+					Leaving: true,
+				})
+			}
+			return a
+		}
+		look := func() {
+			for range 40 {
+				Expect(serve("/look/1").Body.Close()).To(Succeed())
+			}
+		}
+		look()
+		told := len(p.sent)
+		look()
+		Expect(p.sent[told:]).To(HaveEach(ibisid.NodeName("b")))
+		serve("/key/1")
+		told = len(p.sent)
+		answer := serve("/key/1")
+		Expect(answer.Reason).To(Equal(ibismessage.ReasonKeyMoving))
+		Expect(p.sent).To(HaveLen(told), "the owner of the key leaves")
+	})
+
 	It("never retries a non-idempotent request that may have run", func() {
 		p.answer = func(int, ibisid.NodeName) ibismessage.Answer {
 			return ibismessage.Unknown(ibismessage.ReasonConnectionFailed, nil)
--- a/internal/relay/ibisdispatch/notice.go
+++ b/internal/relay/ibisdispatch/notice.go
@@ -5,6 +5,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 )
 
 // maxNotices bounds the number of notices; beyond it, all earlier ones are forgotten.
@@ -19,6 +20,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if notice == d.notices[node] {
+		return
+	}
 	if notice.IsEmpty() {
 		delete(d.notices, node)
 		return
@@ -27,6 +31,15 @@
 		clear(d.notices)
 	}
 	d.notices[node] = notice
+	if notice.Leaving {
+		d.refresh()
+	}
+}
+
+// isLeaving reports whether the backend server of a member has said that it stops soon; d.mu is held.
+func (d *Dispatcher) isLeaving(m ibisroster.Member) bool {
+	notice := d.notices[m.Node]
+	return notice.Leaving && notice.Server == m.Server.Incarnation
 }
 
 // notice returns what the backend server of a node last said about itself, empty if it is not known to have said anything.
--- a/internal/relay/ibisdispatch/retry.go
+++ b/internal/relay/ibisdispatch/retry.go
@@ -125,7 +125,7 @@
 	switch {
 	case !ok || d.unreachable.Has(node):
 		return member, ibismessage.NotRun(ibismessage.ReasonUnreachable, d.jitter(time.Second), nil), false
-	case d.outDomains.Has(member.Place.Domain), slices.Contains(tried, node):
+	case d.outDomains.Has(member.Place.Domain), d.isLeaving(member), slices.Contains(tried, node):
 		return member, ibismessage.NotRun(ibismessage.ReasonKeyMoving, d.jitter(ibisretrypolicy.DefaultRetryAfter), nil), false
 	case len(p.route.Homes) > 0 && !slices.Contains(p.route.Homes, member.Place.Region):
 		return member, ibismessage.NotRun(ibismessage.ReasonNoServer, d.jitter(time.Second), nil), false
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -113,6 +113,7 @@
 		sent.Notice = ibismessage.ServerNotice{
 			Server:    ibisroster.ServerIncarnation{ID: "s1", StartedAt: 7},
 			RateLimit: ibisset.Some(2.5),
+			Leaving:   true,
 		}
 		answer := client.Send(context.Background(), address, sent)
 		Expect(answer.Outcome).To(Equal(ibisid.OutcomeDone))
--- a/internal/relay/ibisforward/wire.go
+++ b/internal/relay/ibisforward/wire.go
@@ -52,6 +52,7 @@
 	Server ibisroster.ServerIncarnation `json:"server"`
 	// PerSecond is the server's rate limit in requests per second.
 	PerSecond *float64 `json:"perSecond,omitempty"`
+	Leaving   bool     `json:"leaving,omitempty"`
 }
 
 // encodeNotice returns the header of a notice, nil if it is empty.
@@ -60,7 +61,8 @@
 		return nil
 	}
 	h := &noticeHeader{
-		Server: n.Server,
+		Server:  n.Server,
+		Leaving: n.Leaving,
 	}
 	if perSecond, ok := n.RateLimit.Get(); ok {
 		h.PerSecond = &perSecond
@@ -74,7 +76,8 @@
 		return ibismessage.ServerNotice{}
 	}
 	n := ibismessage.ServerNotice{
-		Server: h.Server,
+		Server:  h.Server,
+		Leaving: h.Leaving,
 	}
 	if h.PerSecond != nil {
 		n.RateLimit = ibisset.Some(*h.PerSecond)
