--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -47,11 +47,24 @@
 	s.upset[n], s.upsetAll = until, until
 }
 
+// Numbers of kinds of faults, without and with those of Config.Notices.
+const (
+	plainKinds  = 14
+	noticeKinds = 2
+)
+
+func (s *soak) kinds() int {
+	if s.config.Notices {
+		return plainKinds + noticeKinds
+	}
+	return plainKinds
+}
+
 // inject does one thing wrong.
 func (s *soak) inject(ctx context.Context) {
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	span := s.span()
-	switch s.random.IntN(14) {
+	switch s.random.IntN(s.kinds()) {
 	case 0:
 		m := mode(1 + s.random.IntN(int(modes)-1))
 		s.note(n, span, "%s: link to the store in mode %d for %s", n.name, m, span)
@@ -111,6 +124,16 @@
 		}
 		s.note(n, span, "%s: backend server sends answers without end for %s, in the body: %t", n.name, span, fault == ibisapp.FaultEndlessBody)
 		s.during(ctx, span, func() { n.current().SetFault(fault) }, func() { n.current().SetFault(ibisapp.FaultNone) })
+	case 14:
+		perSecond := 5 + 20*s.random.Float64()
+		s.note(n, span, "%s: backend server names a limit of %.1f requests a second for %s", n.name, perSecond, span)
+		s.during(ctx, span, func() { n.current().SetRateLimit(perSecond) }, func() { n.current().SetRateLimit(0) })
+	case 15:
+		s.note(n, drainTime, "%s: backend server says in its answers alone that it leaves, and is replaced", n.name)
+		s.during(ctx, drainTime, func() { n.current().SayLeaving() }, func() {
+			n.current().Leave()
+			s.reborn(n, false)
+		})
 	}
 }
 
@@ -179,6 +202,7 @@
 		n.peers.set(modePass)
 		n.signal(syscall.SIGCONT)
 		n.current().SetFault(ibisapp.FaultNone)
+		n.current().SetRateLimit(0)
 		s.reborn(n, false)
 	}
 }
--- a/internal/program/ibiscli/soak.go
+++ b/internal/program/ibiscli/soak.go
@@ -15,7 +15,9 @@
 	Seeds int           `arg:"--seeds" default:"1" help:"how many seeds, counted up"`
 	Nodes int           `arg:"--nodes" default:"8" help:"instances, at least 4"`
 	For   time.Duration `arg:"--for" default:"20s" help:"how long faults are injected"`
-	Dir   string        `arg:"--dir" placeholder:"DIR" help:"where settings and logs of the nodes are kept; a new temporary directory by default"`
+	// Notices adds the faults of ibissoak.Config.Notices.
+	Notices bool   `arg:"--notices" help:"backend servers also name rate limits and say that they leave in their answers alone; a seed then draws other faults"`
+	Dir     string `arg:"--dir" placeholder:"DIR" help:"where settings and logs of the nodes are kept; a new temporary directory by default"`
 }
 
 // Description returns what the command is for, for its help.
@@ -48,6 +50,7 @@
 			Seed:    seed,
 			Nodes:   c.Nodes,
 			Faulty:  c.For,
+			Notices: c.Notices,
 			Dir:     place,
 		})
 		if err != nil {
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -64,6 +64,7 @@
 	// tokens holds the highest token seen, by key, where keys are granted by calls.
 	tokens   map[int]uint64
 	ackedOut time.Time
+	notice   notice
 	beats    chan struct{}
 }
 
@@ -139,6 +140,7 @@
 	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
+	s.checkNotice(id)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -156,6 +158,7 @@
 	}
 	deadline := time.Now().Add(time.Duration(left) * time.Millisecond)
 	if !s.slot(r.Context(), deadline) {
+		s.writeNotice(w.Header())
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -235,6 +238,7 @@
 		// A handler that returned would have the server send an empty success.
 		panic(http.ErrAbortHandler)
 	}
+	s.writeNotice(w.Header())
 	if time.Now().After(deadline) {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
