--- a/internal/node/ibisgate/send.go
+++ b/internal/node/ibisgate/send.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// applyRateLimit applies the rate limit that the backend server names in an answer; a malformed one changes nothing.
+func (g *Gate) applyRateLimit(answer *ibisbackend.Answer) {
+	limit, err := answer.RateLimit()
+	if err != nil {
+		return
+	}
+	perSecond, limited := limit.Get()
+	g.update(ibisadmit.RateLimitEvent{
+		Limited:   limited,
+		PerSecond: perSecond,
+	})
+}
+
 // trackAnswer reports the progress of a sent request to the core, up to the close of its answer.
 func (g *Gate) trackAnswer(id ibisadmit.RequestID, result ibisbackend.Result, latency time.Duration) ibisbackend.Result {
 	if result.Answer == nil {
@@ -125,6 +138,7 @@
 	g.update(ibisadmit.HeadReceivedEvent{
 		ID: id,
 	})
+	g.applyRateLimit(result.Answer)
 	failed := result.Answer.Status() >= http.StatusInternalServerError
 	result.Answer.OnClose(func() {
 		g.update(ibisadmit.FinishEvent{
--- a/internal/peer/ibisbackend/answer.go
+++ b/internal/peer/ibisbackend/answer.go
@@ -5,8 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"strconv"
 	"time"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 )
 
 // ErrTruncated reports an answer whose body ended before its declared length or before its last chunk.
@@ -18,6 +22,8 @@
 	header http.Header
 	length int64
 	notRun bool
+	// rateLimit is the value of HeaderRateLimit.
+	rateLimit string
 	// typical is the value of HeaderTypical.
 	typical string
 	body    *answerBody
@@ -42,11 +48,12 @@
 		remaining = 0
 	}
 	return &Answer{
-		status:  response.StatusCode,
-		header:  EndToEndHeaders(response.Header),
-		length:  length,
-		notRun:  response.Header.Get(HeaderNotRun) == "true",
-		typical: response.Header.Get(HeaderTypical),
+		status:    response.StatusCode,
+		header:    EndToEndHeaders(response.Header),
+		length:    length,
+		notRun:    response.Header.Get(HeaderNotRun) == "true",
+		rateLimit: response.Header.Get(HeaderRateLimit),
+		typical:   response.Header.Get(HeaderTypical),
 		body: &answerBody{
 			body:        response.Body,
 			cancel:      cancel,
@@ -65,6 +72,19 @@
 // Typical returns the value of HeaderTypical in the answer of another node, empty if there is none.
 func (a *Answer) Typical() string { return a.typical }
 
+// RateLimit returns the number of requests per second that the backend server names as its limit, absent if it names none. It fails
+// if the header is not a finite number of at least zero.
+func (a *Answer) RateLimit() (ibisset.Option[float64], error) {
+	if a.rateLimit == "" {
+		return ibisset.None[float64](), nil
+	}
+	perSecond, err := strconv.ParseFloat(a.rateLimit, 64)
+	if err != nil || math.IsInf(perSecond, 0) || !(perSecond >= 0) {
+		return ibisset.None[float64](), fmt.Errorf("%s: %q: must be a number of at least 0", HeaderRateLimit, a.rateLimit)
+	}
+	return ibisset.Some(perSecond), nil
+}
+
 // Length returns the length of the body in bytes, -1 for a chunked body of unknown length.
 func (a *Answer) Length() int64 { return a.length }
 
--- a/internal/peer/ibisbackend/header.go
+++ b/internal/peer/ibisbackend/header.go
@@ -23,6 +23,9 @@
 	HeaderKey = "X-Ibis-Key"
 	// HeaderNotRun is set to "true" by a backend server that rejects a request before it begins to run it.
 	HeaderNotRun = "X-Ibis-Not-Run"
+	// HeaderRateLimit is the number of requests per second, in decimal, that a backend server takes from all nodes together, as long as
+	// its answers name it.
+	HeaderRateLimit = "X-Ibis-Rate-Limit"
 	// HeaderTypical carries what a node's gate has learnt of the latency of the request's class, between nodes only.
 	HeaderTypical = "X-Ibis-Typical"
 	// HeaderIdempotencyKey carries the idempotency key that the caller chose; repeats of a request have the same key.
