Nodes say which request a backend server had when it ended

A connection that breaks with an order on it counts as a crash if the server's port refuses connections right then (a running server never does): reason serverCrashed instead of broken, with the incarnation, also between nodes. Log lines of such requests carry a fingerprint of method, host, path and query and body, which is the same for all repeats, whatever their id and node. What is retried is unchanged. Costs one connection to the own server for each order whose connection failed after it was sent.

--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -324,8 +324,9 @@
 		}
 		return ibismessage.NotRun(reason, 0, err)
 	}
-	answer, tries := d.sendWithLimit(ctx, p, p.order(request, body, rest), limit)
+	order := p.order(request, body, rest)
+	answer, tries := d.sendWithLimit(ctx, p, order, limit)
 	d.meter.RecordRequest(p.route.Name, answer, d.clock.Now().Sub(request.Arrived))
-	d.logRequest(request, p, answer, tries)
+	d.logRequest(request, p, order, answer, tries)
 	return answer
 }
--- a/internal/relay/ibisdispatch/log.go
+++ b/internal/relay/ibisdispatch/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +19,9 @@
 	took    time.Duration
 }
 
+// crashed reports whether the backend server ended while it had the request.
+func (t nodeTry) crashed() bool { return t.reason == ibismessage.ReasonServerCrashed }
+
 // String returns the text of the try in a log line: the node, the outcome or the reason, and the time in milliseconds.
 func (t nodeTry) String() string {
 	end := string(t.reason)
@@ -29,7 +33,7 @@
 
 // logRequest writes the log line of a request: the nodes that it was sent to and the reason for its outcome. Only one in
 // ordinaryLogInterval of the requests that were answered within their target at the first try has a line.
-func (d *Dispatcher) logRequest(request Request, p plan, answer ibismessage.Answer, tries []nodeTry) {
+func (d *Dispatcher) logRequest(request Request, p plan, order ibismessage.Order, answer ibismessage.Answer, tries []nodeTry) {
 	elapsed := d.clock.Now().Sub(request.Arrived)
 	message := "request was answered"
 	if answer.Outcome != ibisid.OutcomeDone {
@@ -59,6 +63,9 @@
 		zap.String("outcome", string(answer.Outcome)),
 		zap.Duration("held", elapsed),
 	}
+	if slices.ContainsFunc(tries, nodeTry.crashed) {
+		fields = append(fields, zap.Stringer("fingerprint", fingerprintOf(order)))
+	}
 	if answer.Outcome == ibisid.OutcomeDone {
 		entry.Write(append(fields, zap.Int("status", answer.Status))...)
 		return
--- a/internal/relay/ibisforward/wire.go
+++ b/internal/relay/ibisforward/wire.go
@@ -43,6 +43,8 @@
 	PageVersion  uint64             `json:"pageVersion,omitempty"`
 	Arrived      bool               `json:"arrived,omitempty"`
 	Load         float32            `json:"load"`
+	// Crashed is the incarnation of the backend server that ended while it had the request.
+	Crashed ibisroster.ServerIncarnation `json:"crashed,omitzero"`
 	// Notice is absent in the answer of a backend server that says nothing about itself.
 	Notice *noticeHeader `json:"notice,omitempty"`
 }
@@ -156,6 +158,7 @@
 		PageVersion:  a.PageVersion,
 		Arrived:      a.Arrived,
 		Load:         float32(int(a.Load*100)) / 100,
+		Crashed:      a.Crashed,
 		Notice:       encodeNotice(a.Notice.Or(ibismessage.ServerNotice{})),
 	})
 	if err != nil {
@@ -186,6 +189,7 @@
 		PageVersion: h.PageVersion,
 		Arrived:     h.Arrived,
 		Load:        float64(h.Load),
+		Crashed:     h.Crashed,
 		Notice:      notice,
 	}, nil
 }
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/base/ibisset"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 )
 
 // Reason is why an order was not run, or why its result is unknown.
@@ -33,6 +34,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonConnectionFailed means that the connection or the answer failed after the request was sent.
 	ReasonConnectionFailed Reason = "broken"
+	// ReasonServerCrashed means that the backend server ended while it had the request.
+	ReasonServerCrashed Reason = "serverCrashed"
 	// ReasonNoServer means that no backend server of the service accepts work.
 	ReasonNoServer Reason = "noServer"
 	// ReasonBusy means that every backend server that may run the request is busy.
@@ -74,6 +77,8 @@
 	PageVersion uint64
 	// Arrived reports whether the request reached a backend server, even if that rejected it.
 	Arrived bool
+	// Crashed is the incarnation of the backend server that ended while it had the request; zero if none did.
+	Crashed ibisroster.ServerIncarnation
 	// Load is the number of running and waiting requests at the node's admission, divided by its limit; negative if unknown.
 	Load float64
 	// Notice is what the node last heard from its backend server, absent if it has heard nothing that it can read.
--- /dev/null
+++ b/internal/request/ibisquarantine/fingerprint.go
@@ -0,0 +1,39 @@
+package ibisquarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"io"
+)
+
+// Fingerprint identifies what a request asks for, whoever sends it and under whichever id.
+type Fingerprint [16]byte
+
+// FingerprintOf returns the fingerprint of a request; body is its body as far as it is held in memory, and length is the length of the
+// whole body in bytes, -1 if unknown.
+func FingerprintOf(method, host, uri string, body []byte, length int64) Fingerprint {
+	hash := sha256.New()
+	for _, part := range []string{method, host, uri} {
+		_ = binary.Write(hash, binary.BigEndian, uint32(len(part)))
+		_, _ = io.WriteString(hash, part)
+	}
+	_ = binary.Write(hash, binary.BigEndian, length)
+	_, _ = hash.Write(body)
+	return Fingerprint(hash.Sum(nil)[:len(Fingerprint{})])
+}
+
+// String returns the fingerprint in hexadecimal digits.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// ParseFingerprint returns the fingerprint that String has written; it fails if the text is not 32 hexadecimal digits.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	var f Fingerprint
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(f) {
+		return f, fmt.Errorf("fingerprint %q: must be %d hexadecimal digits", text, 2*len(f))
+	}
+	copy(f[:], raw)
+	return f, nil
+}
--- a/internal/standin/ibisapp/fault.go
+++ b/internal/standin/ibisapp/fault.go
@@ -18,6 +18,10 @@
 	FaultEndlessHead
 	// FaultEndlessBody means that the body of an answer has no end.
 	FaultEndlessBody
+	// FaultReset means that the connection is closed instead of an answer.
+	FaultReset
+	// FaultCrash means that the server ends instead of an answer.
+	FaultCrash
 )
 
 const (
@@ -29,8 +33,14 @@
 // SetFault sets what the server does wrong from its next answer on.
 func (s *Server) SetFault(fault Fault) { s.fault.Store(int32(fault)) }
 
-// sendWithoutEnd sends an answer without end, until the connection is closed, the fault ends or the server does.
-func (s *Server) sendWithoutEnd(w http.ResponseWriter, id string, fault Fault) {
+// failAnswer does what the fault says: an answer without end lasts until the connection is closed, the fault ends or the server does.
+func (s *Server) failAnswer(w http.ResponseWriter, id string, fault Fault) {
+	if fault == FaultCrash {
+		s.Crash()
+	}
+	if fault == FaultReset || fault == FaultCrash {
+		panic(http.ErrAbortHandler)
+	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -244,7 +244,7 @@
 		return
 	}
 	if fault := Fault(s.fault.Load()); fault != FaultNone {
-		s.sendWithoutEnd(w, id, fault)
+		s.failAnswer(w, id, fault)
 		return
 	}
 	w.Header().Set("Server-Seal", Seal(s.config.ID, id, s.config.Body))
