A request under which three backend servers ended is blocked at all nodes

Cause: the end of a server counts like any broken connection. The retrier sends an idempotent request to a second server, and nothing keeps what a server had when it ended, so that each repeat starts anew at any node. Class: a failure that belongs to the request is booked on the server alone.

Change: ibisquarantine holds, by fingerprint, the incarnations of servers that ended while they had the request. From two on the request is not retried, from three on it is refused as not run with the time that is left of an hour, before and between tries. A server that answers it clears it, so that the other requests of an ended server are not blocked for long. Nodes share ends as rows of a partition of the table that they follow anyway (no further polls): one commit for all requests of a server's end, none for those that another server answers within 0.4 s; a restarted node reads them, and after a new era of the store they are written again. A node also treats its server as ended at once, not at its next request.

Weighed: reports in answers between nodes (lost with them), the node's own row among the members (lost with a restart of that node), a count per path alone (callers share paths), a block after one end (up to twelve others are under way at each), a row a suspect with a counter (conflicts).

--- a/internal/program/ibiscli/explain.go
+++ b/internal/program/ibiscli/explain.go
@@ -70,6 +70,7 @@
 	"keyMoving":     "the key was on its way to another backend server",
 	"unreachable":   "no connection to the node could be opened",
 	"connections":   "the backend server takes no more connections",
+	"quarantined":   "several backend servers ended while they had this request, so that it is not run",
 	"serverCrashed": "the backend server ended while it had the request: it may have run",
 	"broken":        "the connection or the answer broke after the request was sent: it may have run",
 	"cancelled":     "the caller left",
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -196,7 +196,7 @@
 	g.hear(answer.Notice)
 	end.Latency = g.clock.Now().Sub(began)
 	if answer.Outcome != ibisid.OutcomeDone {
-		if answer.Reason == ibismessage.ReasonServerEnded {
+		if answer.Reason == ibismessage.ReasonServerEnded || !answer.Crashed.IsZero() {
 			g.ownership.ReportServerEnded(incarnation)
 		}
 		end.Failed = answer.Arrived
--- a/internal/relay/ibisdispatch/change_test.go
+++ b/internal/relay/ibisdispatch/change_test.go
@@ -143,7 +143,7 @@
 		clock := ibistimer.NewFake(time.Unix(1_000_000, 0))
 		p := &changingPeer{t: t, clock: clock, members: make(map[ibisid.NodeName]ibisroster.Member)}
 		p.dispatcher = ibisdispatch.New(ibisdispatch.Config{Node: "a", Place: ibisid.Place{Region: "north", Domain: "d-a"}}, p,
-			ibismeter.New(), clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
+			ibismeter.New(), nil, clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
 		for range rapid.IntRange(0, 12).Draw(t, "first changes") {
 			p.change()
 		}
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -22,6 +22,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 	"github.com/ibisridge/ibisridge/internal/request/ibisbalancer"
+	"github.com/ibisridge/ibisridge/internal/request/ibisquarantine"
 )
 
 const (
@@ -63,6 +64,7 @@
 	settings Config
 	peers    Peers
 	meter    Meter
+	evidence Evidence
 	clock    ibistimer.Service
 	log      *zap.Logger
 	// ordinary counts requests that were answered within their target at the first try.
@@ -82,7 +84,8 @@
 	nextID      ibisbalancer.AttemptID
 	unreachable ibisset.Set[ibisid.NodeName]
 	// notices holds what backend servers say about themselves, by node, unless that is empty.
-	notices map[ibisid.NodeName]ibismessage.ServerNotice
+	notices    map[ibisid.NodeName]ibismessage.ServerNotice
+	quarantine *ibisquarantine.Ledger
 }
 
 // pageView is an ownership page with the version of its row.
@@ -92,11 +95,12 @@
 }
 
 // New returns a dispatcher without a configuration; random adds jitter to retry-after times and breaks ties between servers.
-func New(settings Config, peers Peers, meter Meter, clock ibistimer.Service, random *rand.Rand, log *zap.Logger) *Dispatcher {
+func New(settings Config, peers Peers, meter Meter, evidence Evidence, clock ibistimer.Service, random *rand.Rand, log *zap.Logger) *Dispatcher {
 	return &Dispatcher{
 		settings:    settings,
 		peers:       peers,
 		meter:       meter,
+		evidence:    evidence,
 		clock:       clock,
 		log:         log,
 		roster:      ibisroster.New(),
@@ -108,6 +112,7 @@
 		callerAges:  ibisretrypolicy.NewCallerAges(),
 		unreachable: make(ibisset.Set[ibisid.NodeName]),
 		notices:     make(map[ibisid.NodeName]ibismessage.ServerNotice),
+		quarantine:  ibisquarantine.New(),
 	}
 }
 
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -102,7 +102,7 @@
 		dispatcher = ibisdispatch.New(ibisdispatch.Config{
 			Node:  "a",
 			Place: ibisid.Place{Region: "central", Domain: "kandy-a"},
-		}, p, ibismeter.New(), clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
+		}, p, ibismeter.New(), nil, clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
 		route := func(name string, kind ibisroute.Kind, service ibisid.ServiceName, homes ...ibisid.RegionName) ibisroute.Route {
 			return ibisroute.Route{
 				Name: ibisid.ClassName(name), Host: "mats.example", Prefix: "/" + name + "/", Kind: kind, Priority: 1,
--- a/internal/relay/ibisdispatch/fuzz_test.go
+++ b/internal/relay/ibisdispatch/fuzz_test.go
@@ -28,7 +28,7 @@
 	f.Fuzz(func(t *testing.T, memberRow, pageRow []byte) {
 		clock := ibistimer.NewFake(time.Unix(1_000_000, 0))
 		p := &peers{answer: func(int, ibisid.NodeName) ibismessage.Answer { return done(200, "whole") }}
-		dispatcher := ibisdispatch.New(ibisdispatch.Config{Node: "a"}, p, ibismeter.New(), clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
+		dispatcher := ibisdispatch.New(ibisdispatch.Config{Node: "a"}, p, ibismeter.New(), nil, clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
 		var routes []ibisroute.Route
 		services := []ibisroute.Service{{Name: "desk"}, {Name: "floor", Sharded: true}}
 		for _, s := range services {
--- a/internal/relay/ibisdispatch/quarantine.go
+++ b/internal/relay/ibisdispatch/quarantine.go
@@ -1,10 +1,98 @@
 package ibisdispatch
 
 import (
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisquarantine"
 )
 
+// retriedEnds is the number of servers that may have ended under a request for it to be retried after the last one: the first end
+// probably has another cause.
+const retriedEnds = 1
+
+// Evidence shares with the other nodes which requests backend servers had when they ended.
+type Evidence interface {
+	// Share shares that a server ended while it had a request.
+	Share(f ibisquarantine.Fingerprint, server ibisquarantine.Server)
+	// Withdraw withdraws what any node has shared of a request and a server.
+	Withdraw(f ibisquarantine.Fingerprint, server ibisquarantine.Server)
+}
+
+// UpdateQuarantine applies what other nodes have shared.
+func (d *Dispatcher) UpdateQuarantine(events []ibisquarantine.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range events {
+		d.applyQuarantine(e)
+	}
+}
+
+// QuarantineServer returns the name of an incarnation of a backend server in the quarantine.
+func QuarantineServer(i ibisroster.ServerIncarnation) ibisquarantine.Server {
+	return ibisquarantine.Server(i.ID + "/" + strconv.FormatInt(i.StartedAt, 10))
+}
+
+// checkQuarantine refuses an order that is blocked since backend servers ended under it.
+func (d *Dispatcher) checkQuarantine(order ibismessage.Order) (ibismessage.Answer, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.quarantine.Empty() {
+		return ibismessage.Answer{}, true
+	}
+	left := d.quarantine.BlockedFor(fingerprintOf(order), d.clock.Now())
+	if left <= 0 {
+		return ibismessage.Answer{}, true
+	}
+	return ibismessage.NotRun(ibismessage.ReasonQuarantined, left, nil), false
+}
+
+// recordRun records whether a backend server ended while it had the order or ran it to an answer, and reports whether the order is too
+// suspect to be retried.
+func (d *Dispatcher) recordRun(order ibismessage.Order, answer ibismessage.Answer) (suspect bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	crashed := !answer.Crashed.IsZero()
+	if !crashed && (d.quarantine.Empty() || answer.Outcome != ibisid.OutcomeDone) {
+		return false
+	}
+	f := fingerprintOf(order)
+	if !crashed {
+		d.applyQuarantine(ibisquarantine.AnsweredEvent{
+			Fingerprint: f,
+		})
+		return false
+	}
+	d.applyQuarantine(ibisquarantine.ServerEndedEvent{
+		Fingerprint: f,
+		Server:      QuarantineServer(answer.Crashed),
+	})
+	return d.quarantine.Ends(f, d.clock.Now()) > retriedEnds
+}
+
+// applyQuarantine passes an event to the quarantine and applies the effects; d.mu is held.
+func (d *Dispatcher) applyQuarantine(event ibisquarantine.Event) {
+	for _, effect := range d.quarantine.Update(event, d.clock.Now()) {
+		switch e := effect.(type) {
+		case ibisquarantine.ShareEffect:
+			d.evidence.Share(e.Fingerprint, e.Server)
+		case ibisquarantine.WithdrawEffect:
+			for _, server := range e.Servers {
+				d.evidence.Withdraw(e.Fingerprint, server)
+			}
+		case ibisquarantine.BlockEffect:
+			d.log.Error("request is blocked: backend servers ended while they had it",
+				zap.Stringer("fingerprint", e.Fingerprint),
+				zap.Int("servers", e.Servers),
+				zap.Duration("for", ibisquarantine.Retention))
+		}
+	}
+}
+
 func fingerprintOf(order ibismessage.Order) ibisquarantine.Fingerprint {
 	return ibisquarantine.FingerprintOf(order.Method, order.Host, order.URI, order.Body, order.Length)
 }
--- a/internal/relay/ibisdispatch/quarantine_test.go
+++ b/internal/relay/ibisdispatch/quarantine_test.go
@@ -18,16 +18,19 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibismeter"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
+	"github.com/ibisridge/ibisridge/internal/request/ibisquarantine"
 )
 
 // crashingServers answers orders, and ends the server that gets one for a URI with "crash" in it.
 type crashingServers struct {
 	crashes int64
 	served  int
+	// crashing is one more URI that ends servers, empty for none.
+	crashing string
 }
 
 func (s *crashingServers) Send(_ context.Context, m ibisroster.Member, order ibismessage.Order) ibismessage.Answer {
-	if !strings.Contains(order.URI, "crash") {
+	if !strings.Contains(order.URI, "crash") && order.URI != s.crashing {
 		s.served++
 		return done(200, "whole")
 	}
@@ -37,14 +40,41 @@
 	return answer
 }
 
+// sharedEvidence passes what one node shares to all of its nodes, as the store does.
+type sharedEvidence struct {
+	nodes  []*ibisdispatch.Dispatcher
+	events []ibisquarantine.Event
+	// delivered holds the events that nodes which start later read.
+	delivered []ibisquarantine.Event
+}
+
+func (s *sharedEvidence) Share(f ibisquarantine.Fingerprint, server ibisquarantine.Server) {
+	s.events = append(s.events, ibisquarantine.ServerEndedEvent{Fingerprint: f, Server: server, Shared: true})
+}
+
+func (s *sharedEvidence) Withdraw(f ibisquarantine.Fingerprint, server ibisquarantine.Server) {
+	s.events = append(s.events, ibisquarantine.WithdrawnEvent{Fingerprint: f, Server: server})
+}
+
+// deliver delivers what has been shared since the last time.
+func (s *sharedEvidence) deliver() {
+	events := s.events
+	s.events = nil
+	s.delivered = append(s.delivered, events...)
+	for _, d := range s.nodes {
+		d.UpdateQuarantine(events)
+	}
+}
+
 var _ = Describe("A request that ends the backend servers that run it", func() {
 	var (
-		clock   *ibistimer.Fake
-		servers *crashingServers
+		clock    *ibistimer.Fake
+		servers  *crashingServers
+		evidence *sharedEvidence
 	)
 
 	newDispatcher := func() *ibisdispatch.Dispatcher {
-		d := ibisdispatch.New(ibisdispatch.Config{Node: "a"}, servers, ibismeter.New(), clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
+		d := ibisdispatch.New(ibisdispatch.Config{Node: "a"}, servers, ibismeter.New(), evidence, clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
 		d.SetConfig(ibisroute.New(1, ibisroute.Limits{}, []ibisroute.Service{{Name: "desk"}}, []ibisroute.Route{{
 			Name: "look", Host: "mats.example", Prefix: "/look/", Kind: ibisroute.KindIdempotent, Target: time.Second, Timeout: 5 * time.Second,
 			MaxAttempts: 3, Services: []ibisroute.WeightedService{{Service: "desk", Weight: 1}},
@@ -56,6 +86,8 @@
 				}}, uint64(i+1))
 			}
 		})
+		d.UpdateQuarantine(evidence.delivered)
+		evidence.nodes = append(evidence.nodes, d)
 		return d
 	}
 
@@ -73,6 +105,7 @@
 	BeforeEach(func() {
 		clock = ibistimer.NewFake(time.Unix(1_000_000, 0))
 		servers = &crashingServers{}
+		evidence = &sharedEvidence{}
 	})
 
 	It("reaches no more servers once it has ended three, and others are served", func() {
@@ -84,4 +117,58 @@
 		Expect(servers.crashes).To(BeNumerically("<=", 3+3), "three, and three retries")
 		Expect(servers.served).To(Equal(40))
 	})
+
+	It("is refused at once as not run, with the time for which it is blocked", func() {
+		d := newDispatcher()
+		for range 3 {
+			serve(d, "/look/crash")
+		}
+		before, blocked := servers.crashes, clock.Now()
+		answer := serve(d, "/look/crash")
+		Expect(answer.Outcome).To(Equal(ibisid.OutcomeNotRun))
+		Expect(answer.Reason).To(Equal(ibismessage.ReasonQuarantined))
+		clock.Advance(blocked.Add(answer.RetryAfter).Sub(clock.Now()) - time.Second)
+		Expect(serve(d, "/look/crash").Reason).To(Equal(ibismessage.ReasonQuarantined))
+		Expect(servers.crashes).To(Equal(before))
+		clock.Advance(time.Second)
+		Expect(serve(d, "/look/crash").Reason).NotTo(Equal(ibismessage.ReasonQuarantined))
+	})
+
+	It("reaches no more servers from any node once what one has seen has reached it, also one that has just started", func() {
+		for range 3 {
+			serve(newDispatcher(), "/look/crash")
+			evidence.deliver()
+		}
+		blockedAfter := servers.crashes
+		for _, d := range evidence.nodes {
+			for range 10 {
+				serve(d, "/look/crash")
+			}
+		}
+		Expect(blockedAfter).To(BeNumerically("<=", 3+3))
+		Expect(servers.crashes).To(Equal(blockedAfter))
+	})
+
+	It("ends no second server by a retry after the first one's end was known", func() {
+		d := newDispatcher()
+		serve(d, "/look/crash")
+		first := servers.crashes
+		serve(d, "/look/crash")
+		Expect(servers.crashes).To(Equal(first + 1))
+	})
+
+	It("leaves requests that were under way in peace once a server answers them", func() {
+		d, other := newDispatcher(), newDispatcher()
+		bystander := "/look/1"
+		servers.crashing = bystander
+		serve(d, bystander)
+		servers.crashing = ""
+		evidence.deliver()
+		Expect(serve(other, bystander).Outcome).To(Equal(ibisid.OutcomeDone))
+		evidence.deliver()
+		servers.crashing = bystander
+		serve(d, bystander)
+		servers.crashing = ""
+		Expect(serve(d, bystander).Outcome).To(Equal(ibisid.OutcomeDone))
+	})
 })
--- a/internal/relay/ibisdispatch/retry.go
+++ b/internal/relay/ibisdispatch/retry.go
@@ -21,6 +21,12 @@
 	retrier := p.newRetrier(order)
 	ownerHint := ibisid.NodeName("")
 	for step := ibisretrypolicy.StepRetry; step == ibisretrypolicy.StepRetry; {
+		if refusal, ok := d.checkQuarantine(order); !ok {
+			if len(tries) == 0 {
+				return refusal, nil
+			}
+			break
+		}
 		if len(tries) == 0 && order.Key != ibismessage.NoKey {
 			order.PageVersion = d.pageVersion(p.service.Name)
 		}
@@ -44,7 +50,7 @@
 			order.PageVersion = last.PageVersion
 		}
 		tried = append(tried, member.Node)
-		step = d.nextStep(ctx, retrier, last)
+		step = d.nextStep(ctx, retrier, last, d.recordRun(order, last))
 	}
 	last.Outcome = retrier.FinalOutcome(last.Outcome)
 	if last.Outcome == ibisid.OutcomeNotRun {
@@ -53,8 +59,8 @@
 	return last, tries
 }
 
-// nextStep reports the result of a try to the retrier and returns the next step.
-func (d *Dispatcher) nextStep(ctx context.Context, retrier *ibisretrypolicy.Retrier, last ibismessage.Answer) ibisretrypolicy.Step {
+// nextStep reports the result of a try to the retrier and returns the next step. A suspect order is not retried.
+func (d *Dispatcher) nextStep(ctx context.Context, retrier *ibisretrypolicy.Retrier, last ibismessage.Answer, suspect bool) ibisretrypolicy.Step {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return retrier.Next(ibisretrypolicy.Try{
@@ -63,6 +69,7 @@
 		GateFull:   ibisadmit.Reason(last.Reason).IsOverload(),
 		Redirected: last.Owner != "",
 		CallerGone: ctx.Err() != nil,
+		Suspect:    suspect,
 	}, d.retryBudget, d.clock.Now())
 }
 
--- /dev/null
+++ b/internal/relay/ibisevidence/reporter.go
@@ -0,0 +1,200 @@
+package ibisevidence
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
+	"github.com/ibisridge/ibisridge/internal/request/ibisquarantine"
+)
+
+const (
+	// batchDelay is how long rows are collected; most requests that a server had when it ended are answered by another within it.
+	batchDelay = 400 * time.Millisecond
+	// retryDelay is the pause after a commit that the store did not apply.
+	retryDelay = 500 * time.Millisecond
+	// maxBatch is the number of rows in one commit.
+	maxBatch = 100
+	// maxRows bounds the rows that wait to be written and those that are kept for Rewrite; further ones are not shared.
+	maxRows = 1024
+)
+
+// Reporter writes and removes rows of evidence. It is safe for concurrent use.
+type Reporter struct {
+	store ibisstore.Store
+	log   *zap.Logger
+	wake  chan struct{}
+	now   func() time.Time
+
+	mu sync.Mutex
+	// pending holds the rows to write, and with a nil value those to remove.
+	pending map[ibisstore.Key][]byte
+	// written holds the rows that this node has written and nobody is known to have removed.
+	written map[ibisstore.Key][]byte
+}
+
+// NewReporter returns a reporter whose rows Run writes; now returns the time of day.
+func NewReporter(store ibisstore.Store, now func() time.Time, log *zap.Logger) *Reporter {
+	return &Reporter{
+		store:   store,
+		log:     log,
+		wake:    make(chan struct{}, 1),
+		now:     now,
+		pending: make(map[ibisstore.Key][]byte),
+		written: make(map[ibisstore.Key][]byte),
+	}
+}
+
+// Share shares that a server ended while it had a request.
+func (r *Reporter) Share(f ibisquarantine.Fingerprint, server ibisquarantine.Server) {
+	r.set(keyOf(f, server), encodeRow(r.now()))
+}
+
+// Withdraw withdraws what any node has shared of a request and a server.
+func (r *Reporter) Withdraw(f ibisquarantine.Fingerprint, server ibisquarantine.Server) {
+	key := keyOf(f, server)
+	r.mu.Lock()
+	value, waits := r.pending[key]
+	if waits && value != nil {
+		delete(r.pending, key)
+		r.mu.Unlock()
+		return
+	}
+	r.mu.Unlock()
+	r.set(key, nil)
+}
+
+// Observe applies rows as the store's feed delivered them, and removes expired ones.
+func (r *Reporter) Observe(rows []ibisstore.Row) {
+	for _, row := range rows {
+		if row.Removed {
+			r.mu.Lock()
+			delete(r.written, row.Key)
+			r.mu.Unlock()
+			continue
+		}
+		if expired(row.Value, r.now()) {
+			r.set(row.Key, nil)
+		}
+	}
+}
+
+// Rewrite writes the node's rows again, after the store may have lost them.
+func (r *Reporter) Rewrite() {
+	r.mu.Lock()
+	for key, value := range r.written {
+		if _, waits := r.pending[key]; !waits && !expired(value, r.now()) {
+			r.pending[key] = value
+		}
+	}
+	clear(r.written)
+	r.mu.Unlock()
+	r.wakeUp()
+}
+
+func (r *Reporter) set(key ibisstore.Key, value []byte) {
+	r.mu.Lock()
+	full := len(r.pending) >= maxRows
+	if !full {
+		r.pending[key] = value
+	}
+	r.mu.Unlock()
+	if full {
+		r.log.Warn("too many rows of evidence wait for the store; not shared", zap.String("row", key.Name))
+		return
+	}
+	r.wakeUp()
+}
+
+func (r *Reporter) wakeUp() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes and removes rows until the context ends.
+func (r *Reporter) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+		ibistimer.Sleep(ctx, batchDelay)
+		for ctx.Err() == nil {
+			more, ok := r.commit(ctx)
+			if !ok {
+				ibistimer.Sleep(ctx, retryDelay)
+			} else if !more {
+				break
+			}
+		}
+	}
+}
+
+// commit writes and removes up to maxBatch rows. It reports whether more of them wait and whether the store applied the commit; a row
+// is its own only content, so a commit without an answer is repeated.
+func (r *Reporter) commit(ctx context.Context) (more, ok bool) {
+	batch := r.nextBatch()
+	if len(batch) == 0 {
+		return false, true
+	}
+	var commit ibisstore.Commit
+	for _, key := range slices.SortedFunc(maps.Keys(batch), compareKeys) {
+		if batch[key] == nil {
+			commit.Removes = append(commit.Removes, key)
+			continue
+		}
+		commit.Writes = append(commit.Writes, ibisstore.Write{
+			Key:   key,
+			Value: batch[key],
+		})
+	}
+	if result := r.store.Commit(ctx, commit); result.Outcome != ibisstore.OutcomeApplied {
+		r.log.Warn("evidence of ended servers is not in the store yet", zap.String("outcome", string(result.Outcome)), zap.Error(result.Err))
+		return true, false
+	}
+	return r.finish(batch), true
+}
+
+// nextBatch returns rows that wait, maxBatch at most.
+func (r *Reporter) nextBatch() map[ibisstore.Key][]byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	batch := make(map[ibisstore.Key][]byte)
+	for key, value := range r.pending {
+		if len(batch) == maxBatch {
+			break
+		}
+		batch[key] = value
+	}
+	return batch
+}
+
+// finish records that a batch is in the store and reports whether more rows wait. A row that has changed since then waits on.
+func (r *Reporter) finish(batch map[ibisstore.Key][]byte) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, value := range batch {
+		if current, waits := r.pending[key]; waits && string(current) == string(value) {
+			delete(r.pending, key)
+		}
+		switch {
+		case value == nil:
+			delete(r.written, key)
+		case len(r.written) < maxRows:
+			r.written[key] = value
+		}
+	}
+	return len(r.pending) > 0
+}
+
+func compareKeys(a, b ibisstore.Key) int { return cmp.Compare(a.Name, b.Name) }
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -36,6 +36,8 @@
 	ReasonConnectionFailed Reason = "broken"
 	// ReasonServerCrashed means that the backend server ended while it had the request.
 	ReasonServerCrashed Reason = "serverCrashed"
+	// ReasonQuarantined means that the request is blocked, since several backend servers ended while they had it.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonNoServer means that no backend server of the service accepts work.
 	ReasonNoServer Reason = "noServer"
 	// ReasonBusy means that every backend server that may run the request is busy.
--- a/internal/relay/ibisretrypolicy/retrier.go
+++ b/internal/relay/ibisretrypolicy/retrier.go
@@ -47,6 +47,8 @@
 	Redirected bool
 	// CallerGone is true if the caller has left.
 	CallerGone bool
+	// Suspect is true if backend servers have ended while they had the request, so that another one may end under it.
+	Suspect bool
 }
 
 // Step is the next step after a try.
@@ -96,7 +98,7 @@
 // server.
 func (r *Retrier) mayRetry(t Try, budget *Budget, now time.Time) bool {
 	switch {
-	case t.CallerGone || !r.request.Resendable || r.request.Deadline.Sub(now) < minTimeLeft:
+	case t.CallerGone || t.Suspect || !r.request.Resendable || r.request.Deadline.Sub(now) < minTimeLeft:
 		return false
 	case t.Outcome == ibisid.OutcomeNotRun && !t.Arrived:
 		// If one gate is full, others probably are too: the refusal must reach the caller before the delay costs the caller
