--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -15,6 +16,11 @@
 	longestGap   = 900 * time.Millisecond
 	longestFault = 5 * time.Second
 	drainTime    = 3 * time.Second
+	// crashingTime is how long a request that ends servers is sent, every crashingPause; after each crashingRestart of them, servers
+	// that are down start again.
+	crashingTime    = 8 * time.Second
+	crashingPause   = 100 * time.Millisecond
+	crashingRestart = 10
 	// longestRewind is the greatest age of the copy from which the store comes back.
 	longestRewind = 4 * time.Second
 )
@@ -47,15 +53,15 @@
 	s.upset[n], s.upsetAll = until, until
 }
 
-// Numbers of kinds of faults, without and with those of Config.Notices.
+// Numbers of kinds of faults, without and with those of Config.ServerFaults.
 const (
 	plainKinds  = 14
-	noticeKinds = 2
+	serverKinds = 3
 )
 
 func (s *soak) kinds() int {
-	if s.config.Notices {
-		return plainKinds + noticeKinds
+	if s.config.ServerFaults {
+		return plainKinds + serverKinds
 	}
 	return plainKinds
 }
@@ -134,6 +140,33 @@
 			n.current().Leave()
 			s.reborn(n, false)
 		})
+	case 16:
+		path := fmt.Sprintf("%s%d", ibisapp.CrashPath, len(s.faults))
+		s.note(nil, crashingTime, "a request that ends the servers that run it, %s, is sent for %s", path, crashingTime)
+		s.injected.Go(func() { s.sendCrashing(ctx, path) })
+	}
+}
+
+// sendCrashing sends a request that ends servers to one node after the other, and starts ended servers again after a while.
+func (s *soak) sendCrashing(ctx context.Context, path string) {
+	ctx, cancel := context.WithTimeout(ctx, crashingTime)
+	defer cancel()
+	for i := 0; ctx.Err() == nil; i++ {
+		n := s.nodes[i%len(s.nodes)]
+		if request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.address(portCallers)+path, nil); err == nil {
+			request.Host = "soak.example"
+			request.Header.Set("Attempt-Id", fmt.Sprintf("crash-%s-%d", path, i))
+			request.Header.Set("Time-Remaining-Ms", "1800")
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				_ = response.Body.Close()
+			}
+		}
+		ibistimer.Sleep(ctx, crashingPause)
+		if i%crashingRestart == 0 {
+			for _, n := range s.nodes {
+				s.reborn(n, false)
+			}
+		}
 	}
 }
 
--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -42,9 +42,9 @@
 	Nodes int
 	// Faulty is how long faults are injected.
 	Faulty time.Duration
-	// Notices adds backend servers that name a rate limit, or say that they leave, in their answers alone. A seed draws other faults
-	// with it than without.
-	Notices bool
+	// ServerFaults adds backend servers that name a rate limit, or say that they leave, in their answers alone, and requests that end
+	// the servers that run them. A seed draws other faults with it than without.
+	ServerFaults bool
 	// PromisesOnly leaves out what depends on the machine's speed: how soon the system is whole again and final answers come.
 	PromisesOnly bool
 	// Dir is where settings and logs are written; they are kept.
--- a/internal/measure/ibissoak/soak_test.go
+++ b/internal/measure/ibissoak/soak_test.go
@@ -18,14 +18,14 @@
 	if out, err := exec.Command("go", "build", "-o", program, "github.com/ibisridge/ibisridge/cmd/ibisridge").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	for _, notices := range []bool{false, true} {
+	for _, serverFaults := range []bool{false, true} {
 		result, err := ibissoak.Run(context.Background(), ibissoak.Config{
 			Program:      program,
 			Seed:         1,
 			Nodes:        4,
 			Faulty:       5 * time.Second,
 			Dir:          t.TempDir(),
-			Notices:      notices,
+			ServerFaults: serverFaults,
 			PromisesOnly: true,
 		})
 		if err != nil {
@@ -33,7 +33,7 @@
 		}
 		if len(result.Broken) > 0 || result.Runs == 0 {
 			result.Write(os.Stdout, 1)
-			t.Errorf("notices %t: %d promises were broken, %d runs", notices, len(result.Broken), result.Runs)
+			t.Errorf("server faults %t: %d promises were broken, %d runs", serverFaults, len(result.Broken), result.Runs)
 		}
 	}
 }
--- a/internal/program/ibiscli/soak.go
+++ b/internal/program/ibiscli/soak.go
@@ -15,9 +15,9 @@
 	Seeds int           `arg:"--seeds" default:"1" help:"how many seeds, counted up"`
 	Nodes int           `arg:"--nodes" default:"8" help:"instances, at least 4"`
 	For   time.Duration `arg:"--for" default:"20s" help:"how long faults are injected"`
-	// Notices adds the faults of ibissoak.Config.Notices.
-	Notices bool   `arg:"--notices" help:"backend servers also name rate limits and say that they leave in their answers alone; a seed then draws other faults"`
-	Dir     string `arg:"--dir" placeholder:"DIR" help:"where settings and logs of the nodes are kept; a new temporary directory by default"`
+	// ServerFaults adds the faults of ibissoak.Config.ServerFaults.
+	ServerFaults bool   `arg:"--server-faults" help:"backend servers also name rate limits, say that they leave in their answers alone, and end under requests; a seed then draws other faults"`
+	Dir          string `arg:"--dir" placeholder:"DIR" help:"where settings and logs of the nodes are kept; a new temporary directory by default"`
 }
 
 // Description returns what the command is for, for its help.
@@ -46,12 +46,12 @@
 	for seed := c.Seed; seed < c.Seed+uint64(max(c.Seeds, 1)); seed++ {
 		place := filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
 		result, err := ibissoak.Run(ctx, ibissoak.Config{
-			Program: program,
-			Seed:    seed,
-			Nodes:   c.Nodes,
-			Faulty:  c.For,
-			Notices: c.Notices,
-			Dir:     place,
+			Program:      program,
+			Seed:         seed,
+			Nodes:        c.Nodes,
+			Faulty:       c.For,
+			ServerFaults: c.ServerFaults,
+			Dir:          place,
 		})
 		if err != nil {
 			return fmt.Errorf("seed %d (logs in %s): %w", seed, place, err)
--- a/internal/standin/ibisapp/ledger.go
+++ b/internal/standin/ibisapp/ledger.go
@@ -16,6 +16,8 @@
 	holds  map[*Server][]hold
 	broken []string
 	total  int
+	// ends holds when servers ended, by the path of the request under which they did.
+	ends map[string][]time.Time
 }
 
 // tokenStep is the distance of the keys whose tokens are noted.
@@ -29,6 +31,36 @@
 		served: make(map[string]time.Time),
 		tokens: make(map[int]uint64),
 		holds:  make(map[*Server][]hold),
+		ends:   make(map[string][]time.Time),
+	}
+}
+
+// Bounds of what a request that ends servers may still do: from crashNoticeTime after it has ended blockingEnds of them, it may reach
+// allowedEnds more.
+const (
+	blockingEnds    = 3
+	crashNoticeTime = 3 * time.Second
+	allowedEnds     = 3
+)
+
+// ended notes that a server ends under a request for the path.
+func (l *Ledger) ended(s *Server, path string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	ends := append(l.ends[path], now)
+	l.ends[path] = ends
+	if len(ends) <= blockingEnds {
+		return
+	}
+	late := 0
+	for _, t := range ends[blockingEnds:] {
+		if t.Sub(ends[blockingEnds-1]) > crashNoticeTime {
+			late++
+		}
+	}
+	if late > allowedEnds {
+		l.report("request for %s ends %s, number %d and %d later than %s after the third", path, s.config.ID, len(ends), late, crashNoticeTime)
 	}
 }
 
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,9 @@
 	Body int
 }
 
+// CrashPath begins the paths of requests that end the server that begins to run them.
+const CrashPath = "/look/crash/"
+
 // Server is a running backend server.
 type Server struct {
 	config Config
@@ -173,6 +177,11 @@
 		return
 	}
 	s.ledger.begin(s, id, r.Method == http.MethodPost, key)
+	if strings.HasPrefix(r.URL.Path, CrashPath) {
+		s.ledger.ended(s, r.URL.Path)
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	s.checkDrained(id)
 	s.work(w, r, id, len(body), deadline)
 	if key >= 0 {
