ibisquarantine: one node tries a blocked request once, and long bodies are told apart

Cause, found in the review of the quarantine: a request that many callers share (a start page) may be under way at three servers that end for another reason; blocked at all nodes, nothing could clear it for an hour. And longer uploads to one path had one fingerprint if their lengths were the same or unknown.

Change: a blocked request is tried once by one node (the first of the members that are up, in an order by request) a minute after the last end, then after ten minutes; an answer clears it everywhere, another end blocks it for longer. Callers get the time until the next trial. Fingerprints are computed outside the dispatcher's lock, and only while there are suspects.

--- a/internal/relay/ibisdispatch/plan.go
+++ b/internal/relay/ibisdispatch/plan.go
@@ -17,7 +17,7 @@
 // bodyTooLong returns the error of a body of unknown length that exceeds the limit in bytes.
 func bodyTooLong(limit int64) error { return fmt.Errorf("%w: more than %d bytes", errTooLong, limit) }
 
-// readBody returns a body of up to maxBufferedBodyBytes in memory; for a longer one it also returns a reader of the rest.
+// readBody returns a body of up to maxBufferedBodyBytes in memory; for a longer one it returns the beginning and a reader of the rest.
 // It fails if the body, as far as it is known, is longer than the limit in bytes, where zero means no limit, or if reading
 // fails.
 func readBody(r Request, limit int64) ([]byte, io.Reader, error) {
@@ -27,17 +27,18 @@
 	if limit > 0 && r.Length > limit {
 		return nil, nil, fmt.Errorf("%w: %d bytes, at most %d", errTooLong, r.Length, limit)
 	}
+	held := int64(maxBufferedBodyBytes + 1)
 	if r.Length > maxBufferedBodyBytes {
-		return nil, r.Body, nil
+		held = longBodyStartBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(r.Body, held))
 	if err != nil {
 		return nil, nil, fmt.Errorf("read the request body: %w", err)
 	}
 	if limit > 0 && int64(len(body)) > limit {
 		return nil, nil, bodyTooLong(limit)
 	}
-	if len(body) > maxBufferedBodyBytes {
+	if len(body) > maxBufferedBodyBytes || r.Length > maxBufferedBodyBytes {
 		return body, r.Body, nil
 	}
 	return body, nil, nil
--- a/internal/relay/ibisdispatch/quarantine.go
+++ b/internal/relay/ibisdispatch/quarantine.go
@@ -7,6 +7,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisretrypolicy"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisquarantine"
 )
@@ -39,28 +40,52 @@
 
 // checkQuarantine refuses an order that is blocked since backend servers ended under it.
 func (d *Dispatcher) checkQuarantine(order ibismessage.Order) (ibismessage.Answer, bool) {
+	if !d.hasSuspects() {
+		return ibismessage.Answer{}, true
+	}
+	f := fingerprintOf(order)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.quarantine.Empty() {
+	now := d.clock.Now()
+	nextTrial, blocked := d.quarantine.Blocked(f, now)
+	if !blocked {
 		return ibismessage.Answer{}, true
 	}
-	left := d.quarantine.BlockedFor(fingerprintOf(order), d.clock.Now())
-	if left <= 0 {
+	if !now.Before(nextTrial) && d.triesBlocked(f) {
+		d.log.Warn("blocked request is tried once", zap.Stringer("fingerprint", f), zap.String("request", order.ID))
+		d.applyQuarantine(ibisquarantine.TriedEvent{
+			Fingerprint: f,
+		})
 		return ibismessage.Answer{}, true
 	}
-	return ibismessage.NotRun(ibismessage.ReasonQuarantined, left, nil), false
+	return ibismessage.NotRun(ibismessage.ReasonQuarantined, max(nextTrial.Sub(now), ibisretrypolicy.DefaultRetryAfter), nil), false
+}
+
+// hasSuspects reports whether any request is a suspect, so that fingerprints are needed.
+func (d *Dispatcher) hasSuspects() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.quarantine.Empty()
+}
+
+// triesBlocked reports whether this node is the one that tries a blocked request: the first of those that are up in an order that
+// differs by request. Nodes that see other nodes as up may disagree for a while. d.mu is held.
+func (d *Dispatcher) triesBlocked(f ibisquarantine.Fingerprint) bool {
+	rank := func(node ibisid.NodeName) uint64 { return ibisid.HashKey(f.String() + "\x00" + string(node)) }
+	own := rank(d.settings.Node)
+	return len(d.roster.Matching(func(m ibisroster.Member) bool { return d.isAvailable(m) && rank(m.Node) < own })) == 0
 }
 
 // recordRun records whether a backend server ended while it had the order or ran it to an answer, and reports whether the order is too
 // suspect to be retried.
 func (d *Dispatcher) recordRun(order ibismessage.Order, answer ibismessage.Answer) (suspect bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	crashed := !answer.Crashed.IsZero()
-	if !crashed && (d.quarantine.Empty() || answer.Outcome != ibisid.OutcomeDone) {
+	if !crashed && (answer.Outcome != ibisid.OutcomeDone || !d.hasSuspects()) {
 		return false
 	}
 	f := fingerprintOf(order)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if !crashed {
 		d.applyQuarantine(ibisquarantine.AnsweredEvent{
 			Fingerprint: f,
--- a/internal/request/ibisquarantine/fingerprint.go
+++ b/internal/request/ibisquarantine/fingerprint.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
-	"io"
 )
 
 // Fingerprint identifies what a request asks for, whoever sends it and under whichever id.
@@ -14,12 +13,14 @@
 // FingerprintOf returns the fingerprint of a request; body is its body as far as it is held in memory, and length is the length of the
 // whole body in bytes, -1 if unknown.
 func FingerprintOf(method, host, uri string, body []byte, length int64) Fingerprint {
-	hash := sha256.New()
+	var head []byte
 	for _, part := range []string{method, host, uri} {
-		_ = binary.Write(hash, binary.BigEndian, uint32(len(part)))
-		_, _ = io.WriteString(hash, part)
+		head = binary.BigEndian.AppendUint32(head, uint32(len(part)))
+		head = append(head, part...)
 	}
-	_ = binary.Write(hash, binary.BigEndian, length)
+	head = binary.BigEndian.AppendUint64(head, uint64(length))
+	hash := sha256.New()
+	_, _ = hash.Write(head)
 	_, _ = hash.Write(body)
 	return Fingerprint(hash.Sum(nil)[:len(Fingerprint{})])
 }
--- a/internal/request/ibisquarantine/ledger.go
+++ b/internal/request/ibisquarantine/ledger.go
@@ -14,6 +14,11 @@
 	blockingServers = 3
 	// Retention is how long a request stays a suspect, or blocked, after the last server has ended under it.
 	Retention = time.Hour
+	// firstTrialDelay is how long after the last server's end a blocked request is tried once, by one node; each further end multiplies
+	// it by trialDelayFactor. Requests that many callers share would otherwise stay blocked after a mass failure that had another
+	// cause, since nothing could clear them.
+	firstTrialDelay  = time.Minute
+	trialDelayFactor = 10
 	// maxSuspects bounds the number of suspects; beyond it, the one whose last server ended first is dropped.
 	maxSuspects = 4096
 )
@@ -34,6 +39,12 @@
 	Shared bool
 }
 
+// TriedEvent reports that this node tries a blocked request once.
+type TriedEvent struct {
+	// Fingerprint identifies the request.
+	Fingerprint Fingerprint
+}
+
 // AnsweredEvent reports that a backend server ran a request to an answer.
 type AnsweredEvent struct {
 	// Fingerprint identifies the request.
@@ -49,6 +60,7 @@
 }
 
 func (ServerEndedEvent) quarantineEvent() {}
+func (TriedEvent) quarantineEvent()       {}
 func (AnsweredEvent) quarantineEvent()    {}
 func (WithdrawnEvent) quarantineEvent()   {}
 
@@ -93,6 +105,8 @@
 	servers ibisset.Set[Server]
 	// last is when the last server's end became known.
 	last time.Time
+	// triedAt is when this node last tried the request while it was blocked.
+	triedAt time.Time
 }
 
 func (s *suspect) expired(now time.Time) bool { return now.Sub(s.last) >= Retention }
@@ -116,12 +130,25 @@
 	return len(s.servers)
 }
 
-// BlockedFor returns how much longer a request must not run, zero if it may.
-func (l *Ledger) BlockedFor(f Fingerprint, now time.Time) time.Duration {
-	if l.Ends(f, now) < blockingServers {
-		return 0
+// Blocked reports whether a request is blocked, and when it is tried or expires, whichever is first.
+func (l *Ledger) Blocked(f Fingerprint, now time.Time) (nextTrial time.Time, blocked bool) {
+	ends := l.Ends(f, now)
+	if ends < blockingServers {
+		return time.Time{}, false
+	}
+	s := l.suspects[f]
+	delay := firstTrialDelay
+	for range ends - blockingServers {
+		delay = min(delay*trialDelayFactor, Retention)
+	}
+	nextTrial = s.last.Add(delay)
+	if !s.triedAt.Before(s.last) {
+		nextTrial = s.triedAt.Add(delay)
+	}
+	if expiry := s.last.Add(Retention); expiry.Before(nextTrial) {
+		nextTrial = expiry
 	}
-	return l.suspects[f].last.Add(Retention).Sub(now)
+	return nextTrial, true
 }
 
 // Update applies one event and returns the resulting effects.
@@ -129,6 +156,10 @@
 	switch e := event.(type) {
 	case ServerEndedEvent:
 		return l.recordEnd(e, now)
+	case TriedEvent:
+		if s := l.suspects[e.Fingerprint]; s != nil {
+			s.triedAt = now
+		}
 	case AnsweredEvent:
 		return l.clear(e.Fingerprint)
 	case WithdrawnEvent:
@@ -185,11 +216,8 @@
 	}}
 }
 
-// makeRoom drops expired suspects if there are too many and, if that was not enough, the one whose last server ended first.
+// makeRoom drops expired suspects and, if there are still too many, the one whose last server ended first.
 func (l *Ledger) makeRoom(now time.Time) {
-	if len(l.suspects) < maxSuspects {
-		return
-	}
 	var oldest Fingerprint
 	for f, s := range l.suspects {
 		if s.expired(now) {
