ibisquarantine: requests that servers answer are not blocked for being under way elsewhere

Change: nodes remember for 10 to 20 s what servers ran to an answer; the end of a server doesn't count for such a request, and what another node has shared of it is withdrawn. A request that ends each server that runs it is never among these. Longer memory was weighed against releases, where the old version answers what ends the new one.

--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -28,9 +28,6 @@
 const (
 	// maxBufferedBodyBytes is the size of the largest body that is held in memory, so that it can be sent again.
 	maxBufferedBodyBytes = 64 << 10
-	// longBodyStartBytes is how much of a longer body is read before the request is sent, so that its fingerprint differs from that of
-	// other bodies of the same length.
-	longBodyStartBytes = 4 << 10
 	// minChoice is the number of usable backend servers below which those further away are also candidates.
 	minChoice = 2
 	// outstandingPerSlot is the number of unanswered requests that one node may have at a backend server for each of its
--- a/internal/relay/ibisdispatch/plan.go
+++ b/internal/relay/ibisdispatch/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
+	"github.com/ibisridge/ibisridge/internal/request/ibisquarantine"
 )
 
 // faultyRouteRetryAfter is the retry-after time for a route whose configuration can't be used: the operator must correct it.
@@ -29,7 +30,7 @@
 	}
 	held := int64(maxBufferedBodyBytes + 1)
 	if r.Length > maxBufferedBodyBytes {
-		held = longBodyStartBytes
+		held = ibisquarantine.BodyBytes
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, held))
 	if err != nil {
--- a/internal/relay/ibisdispatch/quarantine.go
+++ b/internal/relay/ibisdispatch/quarantine.go
@@ -80,7 +80,7 @@
 // suspect to be retried.
 func (d *Dispatcher) recordRun(order ibismessage.Order, answer ibismessage.Answer) (suspect bool) {
 	crashed := !answer.Crashed.IsZero()
-	if !crashed && (answer.Outcome != ibisid.OutcomeDone || !d.hasSuspects()) {
+	if !crashed && answer.Outcome != ibisid.OutcomeDone {
 		return false
 	}
 	f := fingerprintOf(order)
--- a/internal/relay/ibisdispatch/quarantine_test.go
+++ b/internal/relay/ibisdispatch/quarantine_test.go
@@ -193,6 +193,20 @@
 		Expect(servers.crashes).To(Equal(blockedAfter))
 	})
 
+	It("takes no request with it that many callers send and other servers answer meanwhile", func() {
+		d, other := newDispatcher(), newDispatcher()
+		serve(other, "/look/1")
+		for range 6 {
+			servers.crashing = "/look/1"
+			serve(d, "/look/1")
+			servers.crashing = ""
+			evidence.deliver()
+			Expect(serve(other, "/look/1").Outcome).To(Equal(ibisid.OutcomeDone))
+			evidence.deliver()
+		}
+		Expect(serve(d, "/look/1").Outcome).To(Equal(ibisid.OutcomeDone))
+	})
+
 	It("ends no second server by a retry after the first one's end was known", func() {
 		d := newDispatcher()
 		serve(d, "/look/crash")
--- a/internal/request/ibisquarantine/fingerprint.go
+++ b/internal/request/ibisquarantine/fingerprint.go
@@ -10,8 +10,11 @@
 // Fingerprint identifies what a request asks for, whoever sends it and under whichever id.
 type Fingerprint [16]byte
 
-// FingerprintOf returns the fingerprint of a request; body is its body as far as it is held in memory, and length is the length of the
-// whole body in bytes, -1 if unknown.
+// BodyBytes is the number of bytes at the beginning of a body that count for a fingerprint.
+const BodyBytes = 4 << 10
+
+// FingerprintOf returns the fingerprint of a request; body is its body or at least the first BodyBytes of it, and length is the length of
+// the whole body in bytes, -1 if unknown.
 func FingerprintOf(method, host, uri string, body []byte, length int64) Fingerprint {
 	var head []byte
 	for _, part := range []string{method, host, uri} {
@@ -21,7 +24,7 @@
 	head = binary.BigEndian.AppendUint64(head, uint64(length))
 	hash := sha256.New()
 	_, _ = hash.Write(head)
-	_, _ = hash.Write(body)
+	_, _ = hash.Write(body[:min(len(body), BodyBytes)])
 	return Fingerprint(hash.Sum(nil)[:len(Fingerprint{})])
 }
 
--- a/internal/request/ibisquarantine/ledger.go
+++ b/internal/request/ibisquarantine/ledger.go
@@ -98,6 +98,7 @@
 // Ledger holds the requests under which backend servers ended. It is not safe for concurrent use.
 type Ledger struct {
 	suspects map[Fingerprint]*suspect
+	answered answered
 }
 
 // suspect is a request under which servers ended.
@@ -118,7 +119,7 @@
 	}
 }
 
-// Empty reports whether there is no suspect.
+// Empty reports whether there is no suspect, so that no request is blocked.
 func (l *Ledger) Empty() bool { return len(l.suspects) == 0 }
 
 // Ends returns the number of servers that ended under a request, zero if it is not a suspect any more.
@@ -161,6 +162,7 @@
 			s.triedAt = now
 		}
 	case AnsweredEvent:
+		l.answered.add(e.Fingerprint, now)
 		return l.clear(e.Fingerprint)
 	case WithdrawnEvent:
 		if s := l.suspects[e.Fingerprint]; s != nil {
@@ -173,7 +175,12 @@
 	return nil
 }
 
+// recordEnd records a server's end. It doesn't count for a request that another server has just answered: many callers send that one, so
+// that it is often under way, and it doesn't end the servers that run it.
 func (l *Ledger) recordEnd(e ServerEndedEvent, now time.Time) []Effect {
+	if l.answered.has(e.Fingerprint, now) {
+		return withdrawal(e)
+	}
 	s := l.suspects[e.Fingerprint]
 	if s == nil || s.expired(now) {
 		l.makeRoom(now)
@@ -203,6 +210,17 @@
 	return effects
 }
 
+// withdrawal returns the effect that withdraws a server's end if it is shared.
+func withdrawal(e ServerEndedEvent) []Effect {
+	if !e.Shared {
+		return nil
+	}
+	return []Effect{WithdrawEffect{
+		Fingerprint: e.Fingerprint,
+		Servers:     []Server{e.Server},
+	}}
+}
+
 // clear removes a suspect that a server ran to an answer.
 func (l *Ledger) clear(f Fingerprint) []Effect {
 	s := l.suspects[f]
