ibissoak: requests that end servers count where their node was in touch

The check of the ledger counted requests of every node. The sender marks those requests, and only they count after the third end.

--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -16,6 +16,8 @@
 	longestGap   = 900 * time.Millisecond
 	longestFault = 5 * time.Second
 	drainTime    = 3 * time.Second
+	// contactTime is how long after a disturbance a node may still be out of touch.
+	contactTime = 3 * time.Second
 	// crashingTime is how long a request that ends servers is sent, every crashingPause; after each crashingRestart of them, servers
 	// that are down start again.
 	crashingTime    = 8 * time.Second
@@ -66,6 +68,24 @@
 	return plainKinds
 }
 
+// upsetStore remembers that the store is disturbed for the time.
+func (s *soak) upsetStore(lasts time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until := time.Now().Add(lasts); until.After(s.storeUpset) {
+		s.storeUpset = until
+	}
+}
+
+// inTouch reports whether neither the node nor the store has been disturbed for contactTime, so that bounds of time hold for what the
+// node sends.
+func (s *soak) inTouch(n *node) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calmSince := time.Now().Add(-contactTime)
+	return s.upset[n].Before(calmSince) && s.storeUpset.Before(calmSince)
+}
+
 // inject does one thing wrong.
 func (s *soak) inject(ctx context.Context) {
 	n := s.nodes[s.random.IntN(len(s.nodes))]
@@ -106,6 +126,7 @@
 			s.reborn(n, false)
 		})
 	case 9:
+		s.upsetStore(span)
 		f := s.storeFault()
 		s.note(nil, span, "store: %+v for %s", f, span)
 		s.during(ctx, span, func() {
@@ -116,6 +137,7 @@
 		s.note(nil, 0, "store: history is forgotten")
 		s.store.Forget()
 	case 11:
+		s.upsetStore(0)
 		age := time.Duration(1 + s.random.Int64N(int64(longestRewind)))
 		s.note(nil, span, "store: it comes back from a copy that is %s old", age)
 		s.store.Rewind(age)
@@ -157,6 +179,9 @@
 			request.Host = "soak.example"
 			request.Header.Set("Attempt-Id", fmt.Sprintf("crash-%s-%d", path, i))
 			request.Header.Set("Time-Remaining-Ms", "1800")
+			if s.inTouch(n) {
+				request.Header.Set(ibisapp.HeaderCounted, "1")
+			}
 			if response, err := http.DefaultClient.Do(request); err == nil {
 				_ = response.Body.Close()
 			}
--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -80,6 +80,8 @@
 	counts   *tally
 	upset    map[*node]time.Time
 	upsetAll time.Time
+	// storeUpset is when the last disturbance of the store ends.
+	storeUpset time.Time
 	version  int
 	wg       sync.WaitGroup
 	// injected counts faults that have not ended.
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -44,6 +44,9 @@
 // CrashPath begins the paths of requests that end the server that begins to run them.
 const CrashPath = "/look/crash/"
 
+// HeaderCounted marks a request that counts against the bounds for one that ends servers.
+const HeaderCounted = "Counted"
+
 // Server is a running backend server.
 type Server struct {
 	config Config
@@ -178,7 +181,7 @@
 	}
 	s.ledger.begin(s, id, r.Method == http.MethodPost, key)
 	if strings.HasPrefix(r.URL.Path, CrashPath) {
-		s.ledger.ended(s, r.URL.Path)
+		s.ledger.ended(s, r.URL.Path, r.Header.Get(HeaderCounted) != "")
 		s.Crash()
 		panic(http.ErrAbortHandler)
 	}
