--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -82,8 +82,8 @@
 	upsetAll time.Time
 	// storeUpset is when the last disturbance of the store ends.
 	storeUpset time.Time
-	version  int
-	wg       sync.WaitGroup
+	version    int
+	wg         sync.WaitGroup
 	// injected counts faults that have not ended.
 	injected sync.WaitGroup
 }
