--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -174,7 +174,7 @@
 	})
 
 	It("chooses no backend server that said in an answer that it leaves, before any row of the store says so", func() {
-		p.answer = func(n int, node ibisid.NodeName) ibismessage.Answer {
+		p.answer = func(_ int, node ibisid.NodeName) ibismessage.Answer {
 			a := done(200, "whole")
 			if node != "b" {
 				a.Notice = ibisset.Some(ibismessage.ServerNotice{
