--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -77,9 +77,11 @@
 	}
 }
 
-// inTouch reports whether neither the node nor the store has been disturbed for contactTime, so that bounds of time hold for what the
-// node sends.
+// inTouch reports whether bounds of time are checked for what the node sends: neither it nor the store has been disturbed for contactTime.
 func (s *soak) inTouch(n *node) bool {
+	if s.config.PromisesOnly {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	calmSince := time.Now().Add(-contactTime)
--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -43,7 +43,7 @@
 	// Faulty is how long faults are injected.
 	Faulty time.Duration
 	// ServerFaults adds backend servers that name a rate limit, or say that they leave, in their answers alone, and requests that end
-	// the servers that run them. A seed draws other faults with it than without.
+	// the servers that run them, one of them after the recovery. A seed draws other faults with it than without.
 	ServerFaults bool
 	// PromisesOnly leaves out what depends on the machine's speed: how soon the system is whole again and final answers come.
 	PromisesOnly bool
@@ -191,6 +191,9 @@
 	if share, asked := after.share(); !s.config.PromisesOnly && (share < leastServed || asked == 0) {
 		s.ledger.Report("after the recovery %.2f of %d requests were served, must be %.2f", share, asked, leastServed)
 	}
+	if s.config.ServerFaults && !s.config.PromisesOnly {
+		s.sendCrashing(ctx, ibisapp.CrashPath+"last")
+	}
 	stop()
 	s.wg.Wait()
 	return Result{
