ibisforward: a connection outlives a refusal whose order's body was not read

Cause: with full duplex, net/http discards the rest of a body after it has stopped its background read; the end of the body starts that read again, and the read of the next request panics. Each refusal of an order with a body that the node had not read closed its connection unannounced; an order or request that was just on its way on it was reported as one that may have run (502) though no node had seen it.

Change: the rest of a short body is read by the handler once its answer has been sent; longer ones end their connection, announced, as before. Not done where an answer was cut off: the connection is closed there at once.

--- a/internal/relay/ibisforward/body.go
+++ b/internal/relay/ibisforward/body.go
@@ -42,8 +42,17 @@
 // AnnounceClose announces in the header of an answer that its connection ends, if the rest of the body may be too long to wait
 // for.
 func (b *RequestBody) AnnounceClose(header http.Header) {
-	isShort := b.length >= 0 && b.length <= maxDiscardedBytes
-	if !isShort && !b.ended.Load() {
+	if !b.isShort() && !b.ended.Load() {
 		header["Connection"] = []string{"close"}
 	}
 }
+
+// DiscardRest reads what is left of a short body, once its answer has been sent. If the end of the body were left to http.Server, it
+// would read the connection twice at once after the handler's end, panic and close it.
+func (b *RequestBody) DiscardRest() {
+	if b.isShort() && !b.ended.Load() {
+		_, _ = io.Copy(io.Discard, b)
+	}
+}
+
+func (b *RequestBody) isShort() bool { return b.length >= 0 && b.length <= maxDiscardedBytes }
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -1,9 +1,11 @@
 package ibisforward_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -265,6 +267,27 @@
 		Expect(response.Close).To(BeTrue())
 	})
 
+	// Guards against connections that end unannounced after an answer: an order that is on its way on one may seem to have run.
+	It("keeps its connection after a refusal whose order's body was not read", func() {
+		_, address := newClient(func(context.Context, ibismessage.Order) ibismessage.Answer {
+			return ibismessage.NotRun(ibismessage.ReasonKeyMoving, 0, nil)
+		})
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		answers := bufio.NewReader(conn)
+		for range 3 {
+			_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nX-Ibis-Order: {}\r\nContent-Length: 5\r\n\r\norder")
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(answers, nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = io.ReadAll(response.Body)
+			Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(response.Close).To(BeFalse())
+		}
+	})
+
 	It("rejects a request that is not an order of a node", func() {
 		_, address := newClient(func(context.Context, ibismessage.Order) ibismessage.Answer {
 			panic("a malformed order must not reach the target")
--- a/internal/relay/ibisforward/server.go
+++ b/internal/relay/ibisforward/server.go
@@ -51,7 +51,10 @@
 		if answer.Outcome != ibisid.OutcomeDone {
 			w.Header()[headerAnswer] = []string{encodeAnswer(answer)}
 			w.Header()["Date"] = nil
+			w.Header()["Content-Length"] = []string{"0"}
 			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = Flush(r.Context(), w)
+			body.DiscardRest()
 			return
 		}
 		w.Header()[headerAnswer] = []string{encodeAnswer(answer)}
@@ -73,6 +76,7 @@
 				zap.Error(cut.Err))
 			panic(http.ErrAbortHandler)
 		}
+		body.DiscardRest()
 	})
 }
 
