ibisevidence: what is withdrawn while a commit writes it is removed again

Found in the read-through: a row that was withdrawn while the commit with it was under way, or after one without an answer, left the queue and stayed in the store, so that a request that another server had answered kept an end against it. Rows that a commit may have written are removed by the next one. The spec fails without the change and passes with it.

--- a/internal/relay/ibisevidence/reporter.go
+++ b/internal/relay/ibisevidence/reporter.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 	"github.com/ibisridge/ibisridge/internal/request/ibisquarantine"
@@ -36,6 +37,8 @@
 	mu sync.Mutex
 	// pending holds the rows to write, and with a nil value those to remove.
 	pending map[ibisstore.Key][]byte
+	// sent holds the rows that a commit may have written although it was not known to be applied.
+	sent ibisset.Set[ibisstore.Key]
 	// written holds the rows that this node has written and nobody is known to have removed.
 	written map[ibisstore.Key][]byte
 }
@@ -48,6 +51,7 @@
 		wake:    make(chan struct{}, 1),
 		now:     now,
 		pending: make(map[ibisstore.Key][]byte),
+		sent:    make(ibisset.Set[ibisstore.Key]),
 		written: make(map[ibisstore.Key][]byte),
 	}
 }
@@ -62,7 +66,7 @@
 	key := keyOf(f, server)
 	r.mu.Lock()
 	value, waits := r.pending[key]
-	if waits && value != nil {
+	if waits && value != nil && !r.sent.Has(key) {
 		delete(r.pending, key)
 		r.mu.Unlock()
 		return
@@ -175,6 +179,7 @@
 			break
 		}
 		batch[key] = value
+		r.sent.Add(key)
 	}
 	return batch
 }
@@ -184,6 +189,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for key, value := range batch {
+		r.sent.Remove(key)
 		if current, waits := r.pending[key]; waits && string(current) == string(value) {
 			delete(r.pending, key)
 		}
