--- a/internal/standin/ibisapp/notice.go
+++ b/internal/standin/ibisapp/notice.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// limitNoticeTime and leavingNoticeTime are how long the nodes have until they must act on what the server says of itself: contactMs for a limit, drainMs for
-	// leaving.
+	// limitNoticeTime and leavingNoticeTime are how long the nodes have until they must act on a limit, and on the server's leaving.
 	limitNoticeTime   = 3 * time.Second
 	leavingNoticeTime = 2500 * time.Millisecond
 	// limitWindow is the time over which requests are counted; limitFactor times the limit and limitSlack requests are allowed.
