--- a/internal/relay/ibisfeed/follower.go
+++ b/internal/relay/ibisfeed/follower.go
@@ -34,9 +34,9 @@
 	FeedWait time.Duration
 	// BatchDelay is the delay between changes and the next feed request. It batches changes, since every answer costs a call.
 	BatchDelay time.Duration
-	// Apply is called with rows that were read. If full is true, they are all rows of the partitions; otherwise they are the
-	// changes up to the version.
-	Apply func(rows []ibisstore.Row, full bool, version uint64)
+	// Apply is called with what was read. If full is true, it holds all rows of the partitions; otherwise it holds the changes
+	// up to its version.
+	Apply func(read ibisstore.Snapshot, full bool)
 	// OnReachabilityChange is called when the store stops answering, with the error, and when it answers again.
 	OnReachabilityChange func(reachable bool, err error)
 }
@@ -125,21 +125,21 @@
 }
 
 func (f *Follower) readSnapshot(ctx context.Context) (uint64, error) {
-	var rows []ibisstore.Row
-	version := uint64(0)
+	var read ibisstore.Snapshot
 	for _, partition := range f.options.Partitions() {
 		snapshot, err := f.store.Rows(ctx, f.options.Table, partition)
 		if err != nil {
 			return 0, err
 		}
-		rows = append(rows, snapshot.Rows...)
+		read.Rows = append(read.Rows, snapshot.Rows...)
+		read.Transfer += snapshot.Transfer
 		// The feed continues after the oldest version, so that it misses no change of any partition.
-		if version == 0 || snapshot.Version < version {
-			version = snapshot.Version
+		if read.Version == 0 || snapshot.Version < read.Version {
+			read.Version = snapshot.Version
 		}
 	}
-	f.options.Apply(rows, true, version)
-	return version, nil
+	f.options.Apply(read, true)
+	return read.Version, nil
 }
 
 func (f *Follower) feed(ctx context.Context, position uint64, retrying bool) (uint64, error) {
@@ -169,7 +169,7 @@
 		return position, err
 	}
 	if len(changes.Rows) > 0 {
-		f.options.Apply(changes.Rows, false, changes.Version)
+		f.options.Apply(changes, false)
 		if !changes.Batched {
 			ibistimer.Sleep(ctx, f.options.BatchDelay)
 		}
--- a/internal/relay/ibisfeed/follower_test.go
+++ b/internal/relay/ibisfeed/follower_test.go
@@ -30,14 +30,14 @@
 	fullReads int
 }
 
-func (v *tableView) apply(rows []ibisstore.Row, full bool, _ uint64) {
+func (v *tableView) apply(read ibisstore.Snapshot, full bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if full {
 		v.rows = make(map[string]string)
 		v.fullReads++
 	}
-	for _, r := range rows {
+	for _, r := range read.Rows {
 		if r.Removed {
 			delete(v.rows, r.Key.Name)
 			continue
@@ -101,7 +101,7 @@
 			Table:                "op",
 			FeedWait:             5 * time.Second,
 			Partitions:           func() []string { return []string{""} },
-			Apply:                func([]ibisstore.Row, bool, uint64) {},
+			Apply:                func(ibisstore.Snapshot, bool) {},
 			OnReachabilityChange: func(bool, error) {},
 		}, zap.NewNop())
 		go f.Run(ctx)
@@ -117,7 +117,7 @@
 		ended := make(chan struct{})
 		f := ibisfeed.New(platform.NewStoreClient("http://127.0.0.1:1", 0), ibisfeed.Options{
 			Partitions:           func() []string { return []string{""} },
-			Apply:                func([]ibisstore.Row, bool, uint64) {},
+			Apply:                func(ibisstore.Snapshot, bool) {},
 			OnReachabilityChange: func(bool, error) {},
 		}, zap.NewNop())
 		go func() {
--- a/internal/relay/ibisstore/store.go
+++ b/internal/relay/ibisstore/store.go
@@ -42,6 +42,8 @@
 	// Batched reports that the answering node has already batched the changes, so that the next request needn't be
 	// delayed.
 	Batched bool
+	// Transfer is the time from the first to the last byte of the answer.
+	Transfer time.Duration
 }
 
 // Condition is a version that a commit requires of a row.
