--- a/internal/standin/ibisrowstore/fault.go
+++ b/internal/standin/ibisrowstore/fault.go
@@ -30,6 +30,8 @@
 type Faults struct {
 	// Delay is added to every answer.
 	Delay time.Duration
+	// Stall is the pause before each further 128 KiB of an answer, as on a link that others fill.
+	Stall time.Duration
 	// Down says how the store does not answer.
 	Down Down
 	// Lost is the share of transactions and object writes that are applied and not answered.
@@ -59,8 +61,8 @@
 	}
 	share("lost", f.Lost)
 	share("late", f.Late)
-	if f.Delay < 0 || f.LateBy < 0 {
-		faults = append(faults, errors.New("delay, lateBy: must not be negative"))
+	if f.Delay < 0 || f.Stall < 0 || f.LateBy < 0 {
+		faults = append(faults, errors.New("delay, stall, lateBy: must not be negative"))
 	}
 	if f.Late > 0 && f.LateBy == 0 {
 		faults = append(faults, errors.New("lateBy: must be above zero where late is"))
@@ -72,7 +74,7 @@
 		faults = append(faults, fmt.Errorf("count %d: must not be negative", f.Count))
 	}
 	if f == (Faults{Count: f.Count}) {
-		faults = append(faults, errors.New("one of delay, down, lost, late, callsPerSecond must be given"))
+		faults = append(faults, errors.New("one of delay, stall, down, lost, late, callsPerSecond must be given"))
 	}
 	return errors.Join(faults...)
 }
@@ -138,6 +140,7 @@
 // fate is what happens to one call.
 type fate struct {
 	delay time.Duration
+	stall time.Duration
 	down  Down
 	lost  bool
 	late  time.Duration
@@ -176,6 +179,7 @@
 func (f *faults) apply(r rule, write, transaction bool, out *fate) bool {
 	before := *out
 	out.delay = max(out.delay, r.Delay)
+	out.stall = max(out.stall, r.Stall)
 	if r.Down != DownNot {
 		out.down = r.Down
 	}
--- a/internal/standin/ibisrowstore/handler.go
+++ b/internal/standin/ibisrowstore/handler.go
@@ -1,6 +1,7 @@
 package ibisrowstore
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -18,6 +19,8 @@
 	maxBody     = 1 << 20
 	maxObject   = 8 << 20
 	longestWait = 30 * time.Second
+	// stallWindow is the number of bytes between two pauses of an answer that stalls.
+	stallWindow = 128 << 10
 
 	pathTransaction = "/-/rows-tx"
 	headerEra       = "Store-Era"
@@ -74,6 +77,13 @@
 	if f.delay > 0 {
 		ibistimer.Sleep(r.Context(), f.delay)
 	}
+	if f.stall > 0 {
+		w = &stallingWriter{
+			ResponseWriter: w,
+			ctx:            r.Context(),
+			pause:          f.stall,
+		}
+	}
 	switch f.down {
 	case DownSilent:
 		// Only a request that was read to its end lets the server notice that its caller has left.
@@ -109,6 +119,36 @@
 	}
 }
 
+// stallingWriter writes an answer with a pause before each further window.
+type stallingWriter struct {
+	http.ResponseWriter
+	ctx   context.Context
+	pause time.Duration
+	sent  int
+}
+
+// Unwrap returns the writer below.
+func (w *stallingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Write writes the bytes; it fails if the caller leaves during a pause.
+func (w *stallingWriter) Write(b []byte) (int, error) {
+	written := 0
+	for len(b) > 0 {
+		if w.sent > 0 && w.sent%stallWindow == 0 {
+			_ = http.NewResponseController(w.ResponseWriter).Flush()
+			ibistimer.Sleep(w.ctx, w.pause)
+		}
+		n, err := w.ResponseWriter.Write(b[:min(len(b), stallWindow-w.sent%stallWindow)])
+		written += n
+		w.sent += n
+		if err != nil {
+			return written, err
+		}
+		b = b[n:]
+	}
+	return written, w.ctx.Err()
+}
+
 // discard takes an answer that is lost.
 type discard struct{}
 
--- a/internal/standin/ibisrowstore/switch.go
+++ b/internal/standin/ibisrowstore/switch.go
@@ -18,6 +18,7 @@
 // faultsBody is faults as the switch takes and shows them.
 type faultsBody struct {
 	Delay          string  `json:"delay,omitempty"`
+	Stall          string  `json:"stall,omitempty"`
 	Down           Down    `json:"down,omitempty"`
 	Lost           float64 `json:"lost,omitempty"`
 	Late           float64 `json:"late,omitempty"`
@@ -37,7 +38,7 @@
 	for _, span := range []struct {
 		name, text string
 		to         *time.Duration
-	}{{"delay", b.Delay, &out.Delay}, {"lateBy", b.LateBy, &out.LateBy}} {
+	}{{"delay", b.Delay, &out.Delay}, {"stall", b.Stall, &out.Stall}, {"lateBy", b.LateBy, &out.LateBy}} {
 		if span.text == "" {
 			continue
 		}
@@ -59,6 +60,7 @@
 	}
 	return faultsBody{
 		Delay:          text(f.Delay),
+		Stall:          text(f.Stall),
 		Down:           f.Down,
 		Lost:           f.Lost,
 		Late:           f.Late,
