Nodes of a failure domain send each other the operator's changes

Cause: each change reached each node only as the whole row, 264 KB with 1,000 routes, over the link on which callers' uploads arrive. A packet waits there for 0.5 to 2 s, the answer takes two such waits, and a change behind another one waits for both. Change: a node subscribes to two others of its failure domain, which send changes as they get them, compressed (a tenth), on standing connections. It goes on reading from the store. The follower applies changes from any side only where they continue what it has. Ruled out: reading through one neighbor instead of the store, as for members, since a neighbor that is cut off or slow itself would make changes later than today; news of a version with orders, since the request for it would come a wait later.

--- a/internal/relay/ibisfeed/follower.go
+++ b/internal/relay/ibisfeed/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +51,12 @@
 	mu              sync.Mutex
 	cancelFeed      context.CancelFunc
 	rereadRequested bool
+
+	// applying makes changes apply one after the other; it is locked before the locks of what Apply calls.
+	applying sync.Mutex
+	// position is the version up to which the table was applied; known means that it was read in full once.
+	position uint64
+	known    bool
 }
 
 // New returns a follower that has not read the table yet.
@@ -71,9 +78,44 @@
 	}
 }
 
+// Position returns the version up to which the table was applied, and false before it was read once.
+func (f *Follower) Position() (uint64, bool) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	return f.position, f.known
+}
+
+// Offer applies the changes between two versions that another node has read, unless it has them already or lacks changes before
+// them. It calls rows only if it applies them, and fails if that does. Changes of another era than that of the follower's own last
+// answer from the store are not applied.
+func (f *Follower) Offer(after, version uint64, rows func() ([]ibisstore.Row, error)) error {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if !f.known || after > f.position || version <= f.position || ibisstore.EraOf(version) != ibisstore.EraOf(f.position) {
+		return nil
+	}
+	read, err := rows()
+	if err != nil {
+		return err
+	}
+	f.applyChanges(ibisstore.Snapshot{
+		Rows:    read,
+		Version: version,
+	})
+	return nil
+}
+
+// applyChanges applies those of the changes that are newer than the position, and moves the position; f.applying is held.
+func (f *Follower) applyChanges(changes ibisstore.Snapshot) {
+	changes.Rows = slices.DeleteFunc(changes.Rows, func(row ibisstore.Row) bool { return row.Version <= f.position })
+	if len(changes.Rows) > 0 {
+		f.options.Apply(changes, false)
+	}
+	f.position = max(f.position, changes.Version)
+}
+
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	position := uint64(0)
 	haveSnapshot := false
 	failures := 0
 	for ctx.Err() == nil {
@@ -82,12 +124,11 @@
 		}
 		var err error
 		if !haveSnapshot {
-			position, err = f.readSnapshot(ctx)
-			haveSnapshot = err == nil
+			haveSnapshot, err = f.readSnapshot(ctx)
 		} else {
-			position, err = f.feed(ctx, position, failures > 0)
+			err = f.feed(ctx, failures > 0)
 			if errors.Is(err, ibisstore.ErrHistoryLost) {
-				f.log.Info("store no longer has the changes after this position, reading the table in full", zap.String("table", f.options.Table), zap.Uint64("position", position))
+				f.log.Info("store no longer has the changes after this position, reading the table in full", zap.String("table", f.options.Table), zap.Error(err))
 				haveSnapshot, err = false, nil
 			}
 		}
@@ -124,12 +165,13 @@
 	ibistimer.Sleep(ctx, delay)
 }
 
-func (f *Follower) readSnapshot(ctx context.Context) (uint64, error) {
+// readSnapshot reads and applies the whole table. It reports false without an error if changes from another node are newer.
+func (f *Follower) readSnapshot(ctx context.Context) (bool, error) {
 	var read ibisstore.Snapshot
 	for _, partition := range f.options.Partitions() {
 		snapshot, err := f.store.Rows(ctx, f.options.Table, partition)
 		if err != nil {
-			return 0, err
+			return false, err
 		}
 		read.Rows = append(read.Rows, snapshot.Rows...)
 		read.Transfer += snapshot.Transfer
@@ -138,11 +180,18 @@
 			read.Version = snapshot.Version
 		}
 	}
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if read.Version < f.position {
+		return false, nil
+	}
 	f.options.Apply(read, true)
-	return read.Version, nil
+	f.position, f.known = read.Version, true
+	return true, nil
 }
 
-func (f *Follower) feed(ctx context.Context, position uint64, retrying bool) (uint64, error) {
+// feed waits for changes after the position and applies them.
+func (f *Follower) feed(ctx context.Context, retrying bool) error {
 	wait := f.options.FeedWait
 	if retrying {
 		wait = retryWait
@@ -155,24 +204,26 @@
 	f.mu.Unlock()
 	// Reread can't cancel the request if it was called before cancelFeed was set.
 	if pending {
-		return position, nil
+		return nil
 	}
-	changes, err := f.store.Feed(ctx, f.options.Table, position, wait)
+	after, _ := f.Position()
+	changes, err := f.store.Feed(ctx, f.options.Table, after, wait)
 	if err != nil {
 		f.mu.Lock()
 		pending = f.rereadRequested
 		f.mu.Unlock()
 		// A request that Reread cancelled is no failure of the store.
 		if pending {
-			return position, nil
+			return nil
 		}
-		return position, err
+		return err
 	}
-	if len(changes.Rows) > 0 {
-		f.options.Apply(changes, false)
-		if !changes.Batched {
-			ibistimer.Sleep(ctx, f.options.BatchDelay)
-		}
+	changed := len(changes.Rows) > 0
+	f.applying.Lock()
+	f.applyChanges(changes)
+	f.applying.Unlock()
+	if changed && !changes.Batched {
+		ibistimer.Sleep(ctx, f.options.BatchDelay)
 	}
-	return max(position, changes.Version), nil
+	return nil
 }
--- a/internal/relay/ibisfeed/follower_test.go
+++ b/internal/relay/ibisfeed/follower_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http/httptest"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -112,6 +115,44 @@
 		Expect(wait).To(BeNumerically("<=", 200*time.Millisecond))
 	})
 
+	DescribeTable("applies what another node offers only where it continues what the follower has",
+		func(after, version uint64, applied ...string) {
+			store := &failingStore{waits: make(chan time.Duration, 1), version: ibisstore.NewVersion(1, 10)}
+			ctx, cancel := context.WithCancel(context.Background())
+			DeferCleanup(cancel)
+			v := &tableView{}
+			f := ibisfeed.New(store, ibisfeed.Options{
+				Partitions:           func() []string { return []string{""} },
+				Apply:                v.apply,
+				OnReachabilityChange: func(bool, error) {},
+			}, zap.NewNop())
+			rows := func() ([]ibisstore.Row, error) {
+				var out []ibisstore.Row
+				for number := uint64(9); number <= 12; number++ {
+					out = append(out, ibisstore.Row{
+						Key:     ibisstore.Key{Name: strconv.FormatUint(number, 10)},
+						Version: ibisstore.NewVersion(1, number),
+					})
+				}
+				return out, nil
+			}
+			Expect(f.Offer(after, version, rows)).To(Succeed())
+			Expect(v.contents()).To(BeEmpty(), "before the first full read")
+			go f.Run(ctx)
+			Eventually(func() bool { _, known := f.Position(); return known }, "5s").Should(BeTrue())
+			Expect(f.Offer(after, version, rows)).To(Succeed())
+			Expect(slices.Sorted(maps.Keys(v.contents()))).To(ConsistOf(applied))
+			position, _ := f.Position()
+			Expect(position).To(Equal(max(ibisstore.NewVersion(1, 10), ibisstore.NewVersion(1, uint64(10+len(applied))))))
+		},
+		Entry("the changes that follow", ibisstore.NewVersion(1, 10), ibisstore.NewVersion(1, 12), "11", "12"),
+		Entry("changes of which it has some", ibisstore.NewVersion(1, 7), ibisstore.NewVersion(1, 12), "11", "12"),
+		Entry("changes after a gap", ibisstore.NewVersion(1, 11), ibisstore.NewVersion(1, 12)),
+		Entry("changes that it has", ibisstore.NewVersion(1, 7), ibisstore.NewVersion(1, 10)),
+		Entry("changes of an earlier era", ibisstore.NewVersion(0, 7), ibisstore.NewVersion(0, 12)),
+		Entry("changes of a later era, which its own read of the store must begin", ibisstore.NewVersion(1, 10), ibisstore.NewVersion(2, 3)),
+	)
+
 	It("stops when its context is cancelled", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
@@ -133,11 +174,12 @@
 // failingStore answers reads and fails feed requests, whose waits it records.
 type failingStore struct {
 	ibisstore.Store
-	waits chan time.Duration
+	waits   chan time.Duration
+	version uint64
 }
 
 func (s *failingStore) Rows(context.Context, string, string) (ibisstore.Snapshot, error) {
-	return ibisstore.Snapshot{Version: 1}, nil
+	return ibisstore.Snapshot{Version: max(1, s.version)}, nil
 }
 
 func (s *failingStore) Feed(ctx context.Context, _ string, _ uint64, wait time.Duration) (ibisstore.Snapshot, error) {
--- a/internal/relay/ibisneighbor/copy.go
+++ b/internal/relay/ibisneighbor/copy.go
@@ -110,9 +110,28 @@
 func (c *Copy) ChangesAfter(version uint64) (ibisstore.Snapshot, <-chan struct{}, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || !c.reachable || !c.direct || version < c.completeSince {
+	if !c.reachable || !c.direct || !c.hasAfter(version) {
 		return ibisstore.Snapshot{}, c.changed, false
 	}
+	return c.changesAfter(version), c.changed, true
+}
+
+// KnownAfter is like ChangesAfter, for nodes that also read from the store themselves: it returns what the copy has, wherever that
+// came from.
+func (c *Copy) KnownAfter(version uint64) (ibisstore.Snapshot, <-chan struct{}, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.hasAfter(version) {
+		return ibisstore.Snapshot{}, c.changed, false
+	}
+	return c.changesAfter(version), c.changed, true
+}
+
+// hasAfter reports whether the copy has every change after the version; c.mu is held.
+func (c *Copy) hasAfter(version uint64) bool { return !c.closed && version >= c.completeSince }
+
+// changesAfter returns the changes after the version; c.mu is held.
+func (c *Copy) changesAfter(version uint64) ibisstore.Snapshot {
 	out := ibisstore.Snapshot{
 		Version: c.version,
 	}
@@ -122,5 +141,5 @@
 		}
 	}
 	slices.SortFunc(out.Rows, func(a, b ibisstore.Row) int { return cmp.Compare(a.Version, b.Version) })
-	return out, c.changed, true
+	return out
 }
--- /dev/null
+++ b/internal/relay/ibisneighbor/subscriber_test.go
@@ -0,0 +1,83 @@
+package ibisneighbor_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/ibisridge/ibisridge/internal/relay/ibisneighbor"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
+)
+
+// endless reads as zeros without end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// offers is a follower that keeps what it is offered.
+type offers chan ibisstore.Snapshot
+
+func (o offers) Position() (uint64, bool) { return 10, true }
+
+func (o offers) Offer(_, version uint64, rows func() ([]ibisstore.Row, error)) error {
+	read, err := rows()
+	if len(read) > 0 {
+		o <- ibisstore.Snapshot{
+			Rows:    read,
+			Version: version,
+		}
+	}
+	return err
+}
+
+var _ = Describe("A subscriber", func() {
+	// subscribe subscribes to a server with the handler, beside one to the publisher of the copy.
+	subscribe := func(local *ibisneighbor.Copy, handler http.HandlerFunc) offers {
+		var peers []string
+		for _, h := range []http.Handler{handler, ibisneighbor.NewPublisher(local, zap.NewNop()).Handler(handler)} {
+			server := httptest.NewServer(h)
+			DeferCleanup(server.CloseClientConnections)
+			peers = append(peers, strings.TrimPrefix(server.URL, "http://"))
+		}
+		got := make(offers, 16)
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go ibisneighbor.NewSubscriber(table, got, func() []string { return peers }, zap.NewNop()).Run(ctx)
+		return got
+	}
+
+	DescribeTable("gets changes from one node while another",
+		func(handler http.HandlerFunc) {
+			local := ibisneighbor.NewCopy()
+			local.Apply([]ibisstore.Row{row("a", 10, false)}, true, 10)
+			got := subscribe(local, handler)
+			time.Sleep(50 * time.Millisecond)
+			local.Apply([]ibisstore.Row{row("a", 11, true), row("b", 12, false)}, false, 12)
+			Eventually(got, "10s").Should(Receive(And(
+				HaveField("Version", BeEquivalentTo(12)),
+				HaveField("Rows", ConsistOf(HaveField("Removed", true), Equal(row("b", 12, false)))))))
+		},
+		Entry("refuses", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }),
+		Entry("sends nothing", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }),
+		Entry("sends what is no message", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "\x7fno message") }),
+		Entry("sends a message without end", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "\xfc\x7f\xff\xff\xff")
+			_, _ = io.Copy(w, endless{})
+		}),
+	)
+
+	It("gets nothing from nodes that lack changes which it needs", func() {
+		local := ibisneighbor.NewCopy()
+		local.Apply([]ibisstore.Row{row("c", 40, false)}, true, 50)
+		got := subscribe(local, ibisneighbor.NewPublisher(local, zap.NewNop()).Handler(http.NotFoundHandler()).ServeHTTP)
+		local.Apply([]ibisstore.Row{row("c", 51, false)}, false, 51)
+		Consistently(got, "100ms").ShouldNot(Receive())
+	})
+})
