A request without a route gets 404 only once another node has no newer configuration

Callers don't repeat a request after 404. Cause: a node can be behind without a sign of it; it answered as if its configuration were the newest. Change: before it says that there is no route, a node asks two others of its failure domain for changes after its position (the first message of a subscription). What they have is put in force and the route looked up again. Without an answer within 1 s the request is refused as not run, with a time to come back. One check serves all requests of half a second; a node without neighbors answers as before. Ruled out: refusing all requests while behind, since most routes don't change and an isolated node has to go on. Test: "answers that there is no route only if other nodes have no newer configuration"; of its three entries the two with a newer or an unknown configuration fail without the check.

--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -86,6 +86,7 @@
 	// notices holds what backend servers say about themselves, by node, unless that is empty.
 	notices    map[ibisid.NodeName]ibismessage.ServerNotice
 	quarantine *ibisquarantine.Ledger
+	verifier   ConfigVerifier
 }
 
 // pageView is an ownership page with the version of its row.
@@ -317,6 +318,9 @@
 // Serve sends a request to a backend server and returns its answer, or an answer with the reason why there is none.
 func (d *Dispatcher) Serve(ctx context.Context, request Request) ibismessage.Answer {
 	p, refusal, ok := d.plan(request)
+	if refusal.Reason == ibismessage.ReasonNoRoute {
+		p, refusal, ok = d.planUnmatched(ctx, request)
+	}
 	if !ok {
 		return refusal
 	}
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 	"go.uber.org/zap"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
@@ -75,6 +76,11 @@
 	return a
 }
 
+// verifyFunc is a verifier of the configuration.
+type verifyFunc func() bool
+
+func (f verifyFunc) Verify(context.Context) bool { return f() }
+
 var _ = Describe("A Dispatcher", func() {
 	var (
 		clock      *ibistimer.Fake
@@ -370,6 +376,23 @@
 		Expect(p.sent).To(BeEmpty())
 	})
 
+	// Guards against 404 for a route that other nodes have had for seconds (incident 004).
+	DescribeTable("answers that there is no route only if other nodes have no newer configuration",
+		func(verify verifyFunc, want types.GomegaMatcher) {
+			dispatcher.SetConfigVerifier(verify)
+			Expect(serve("/added/1")).To(want)
+		},
+		Entry("they have none", verifyFunc(func() bool { return true }), HaveField("Reason", ibismessage.ReasonNoRoute)),
+		Entry("they don't answer", verifyFunc(func() bool { return false }),
+			And(HaveField("Reason", ibismessage.ReasonConfigUnverified), HaveField("RetryAfter", BeNumerically(">", 0)), HaveField("Outcome", ibisid.OutcomeNotRun))),
+		Entry("they have one with the route", verifyFunc(func() bool {
+			return dispatcher.SetConfig(ibisroute.New(4, ibisroute.Limits{}, []ibisroute.Service{{Name: "desk"}}, []ibisroute.Route{{
+				Name: "added", Host: "mats.example", Prefix: "/added/", Target: time.Second, Timeout: time.Second, MaxAttempts: 1,
+				Services: []ibisroute.WeightedService{{Service: "desk", Weight: 1}},
+			}}))
+		}), HaveField("Outcome", ibisid.OutcomeDone)),
+	)
+
 	It("serves routes of one name with splits of different lengths, and tells their callers apart", func() {
 		split := func(host string, patience time.Duration, services ...ibisid.ServiceName) ibisroute.Route {
 			r := ibisroute.Route{
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -50,6 +50,8 @@
 	ReasonHeaderTooLong Reason = "headerTooLong"
 	// ReasonNoRoute means that no route matches.
 	ReasonNoRoute Reason = "noRoute"
+	// ReasonConfigUnverified means that no route matches, and that the configuration may be older than that of other nodes.
+	ReasonConfigUnverified Reason = "configUnverified"
 	// ReasonFaultyRoute means that the configuration of the matching route can't be used.
 	ReasonFaultyRoute Reason = "faultyRoute"
 	// ReasonNoConfig means that no configuration is known yet.
--- a/internal/relay/ibisneighbor/subscriber.go
+++ b/internal/relay/ibisneighbor/subscriber.go
@@ -9,8 +9,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +30,10 @@
 	silenceTimeout = 3*beatInterval + 2*time.Second
 	// subscribeDialTimeout limits dialling: on a full link the answer of the peer waits for seconds.
 	subscribeDialTimeout = 5 * time.Second
+	// verifyTimeout limits a verification; its caller waits for it.
+	verifyTimeout = time.Second
+	// verifyValidity is how long the result of a verification serves others, so that requests can't cause many.
+	verifyValidity = 500 * time.Millisecond
 	// resubscribeDelay is the time between the end of a subscription and the next one.
 	resubscribeDelay = time.Second
 )
@@ -48,6 +54,16 @@
 	peers    func() []string
 	log      *zap.Logger
 	client   *http.Client
+
+	mu           sync.Mutex
+	verification *verification
+}
+
+// verification is one check of the follower's position, whose result is set once done is closed.
+type verification struct {
+	began   time.Time
+	done    chan struct{}
+	current bool
 }
 
 // NewSubscriber returns a subscriber for a table; peers returns the addresses of the nodes to subscribe to, preferred ones first.
@@ -95,8 +111,63 @@
 	}
 }
 
+// Verify reports whether the follower has all that another node had when it was asked, or gets it from there. It reports false if no
+// node answers in time, and true if there is none.
+func (s *Subscriber) Verify(ctx context.Context) bool {
+	s.mu.Lock()
+	v := s.verification
+	if v == nil || time.Since(v.began) > verifyValidity {
+		v = &verification{
+			began: time.Now(),
+			done:  make(chan struct{}),
+		}
+		s.verification = v
+		go s.verify(v)
+	}
+	s.mu.Unlock()
+	select {
+	case <-v.done:
+		return v.current
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// verify sets the result of a verification, as soon as one of the preferred nodes has answered.
+func (s *Subscriber) verify(v *verification) {
+	defer close(v.done)
+	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
+	defer cancel()
+	after, _ := s.follower.Position()
+	peers := s.peers()
+	peers = peers[:min(len(peers), subscriptions)]
+	results := make(chan error, len(peers))
+	for _, address := range peers {
+		go func() { results <- s.receive(ctx, address, after, 1) }()
+	}
+	var failures []error
+	for range peers {
+		err := <-results
+		if err == nil {
+			v.current = true
+			return
+		}
+		failures = append(failures, err)
+	}
+	if len(failures) == 0 {
+		v.current = true
+		return
+	}
+	s.log.Info("no other node says whether it has newer rows", zap.String("table", s.table), zap.Uint64("position", after), zap.Errors("errors", failures))
+}
+
 // subscribe passes on the changes after the version that the node at the address publishes, until that fails.
 func (s *Subscriber) subscribe(ctx context.Context, address string, after uint64) error {
+	return s.receive(ctx, address, after, math.MaxInt)
+}
+
+// receive passes on a number of messages of the node at the address, which starts with the changes after the version.
+func (s *Subscriber) receive(ctx context.Context, address string, after uint64, count int) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(silenceTimeout, func() { cancel(errSilent) })
@@ -116,7 +187,7 @@
 	}
 	limited := &io.LimitedReader{R: response.Body}
 	messages := gob.NewDecoder(limited)
-	for {
+	for range count {
 		limited.N = maxAnswerBytes
 		var message wireMessage
 		if err := messages.Decode(&message); err != nil {
@@ -127,6 +198,7 @@
 			return err
 		}
 	}
+	return nil
 }
 
 // errSilent reports that a node to which this one is subscribed sends nothing any more.
--- a/internal/relay/ibisneighbor/subscriber_test.go
+++ b/internal/relay/ibisneighbor/subscriber_test.go
@@ -38,8 +38,8 @@
 }
 
 var _ = Describe("A subscriber", func() {
-	// subscribe subscribes to a server with the handler, beside one to the publisher of the copy.
-	subscribe := func(local *ibisneighbor.Copy, handler http.HandlerFunc) offers {
+	// newSubscriber returns a subscriber to a server with the handler and to one of the publisher of the copy.
+	newSubscriber := func(local *ibisneighbor.Copy, handler http.HandlerFunc) (*ibisneighbor.Subscriber, offers) {
 		var peers []string
 		for _, h := range []http.Handler{handler, ibisneighbor.NewPublisher(local, zap.NewNop()).Handler(handler)} {
 			server := httptest.NewServer(h)
@@ -47,11 +47,34 @@
 			peers = append(peers, strings.TrimPrefix(server.URL, "http://"))
 		}
 		got := make(offers, 16)
+		return ibisneighbor.NewSubscriber(table, got, func() []string { return peers }, zap.NewNop()), got
+	}
+	subscribe := func(local *ibisneighbor.Copy, handler http.HandlerFunc) offers {
+		subscriber, got := newSubscriber(local, handler)
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
-		go ibisneighbor.NewSubscriber(table, got, func() []string { return peers }, zap.NewNop()).Run(ctx)
+		go subscriber.Run(ctx)
 		return got
 	}
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+
+	It("is verified once one of two nodes has answered, and has then what that one has", func() {
+		local := ibisneighbor.NewCopy()
+		local.Apply(nil, true, 10)
+		local.Apply([]ibisstore.Row{row("b", 12, false)}, false, 12)
+		subscriber, got := newSubscriber(local, refuse)
+		Expect(subscriber.Verify(context.Background())).To(BeTrue())
+		Expect(got).To(Receive(HaveField("Version", BeEquivalentTo(12))))
+	})
+
+	It("is not verified by nodes that refuse, and needs no verification where there are none", func() {
+		closed := ibisneighbor.NewCopy()
+		closed.Close()
+		subscriber, _ := newSubscriber(closed, refuse)
+		Expect(subscriber.Verify(context.Background())).To(BeFalse())
+		alone := ibisneighbor.NewSubscriber(table, make(offers), func() []string { return nil }, zap.NewNop())
+		Expect(alone.Verify(context.Background())).To(BeTrue())
+	})
 
 	DescribeTable("gets changes from one node while another",
 		func(handler http.HandlerFunc) {
@@ -64,7 +87,7 @@
 				HaveField("Version", BeEquivalentTo(12)),
 				HaveField("Rows", ConsistOf(HaveField("Removed", true), Equal(row("b", 12, false)))))))
 		},
-		Entry("refuses", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }),
+		Entry("refuses", http.HandlerFunc(refuse)),
 		Entry("sends nothing", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }),
 		Entry("sends what is no message", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "\x7fno message") }),
 		Entry("sends a message without end", func(w http.ResponseWriter, _ *http.Request) {
