ibisforward: a connection that is reset under a request's body ends without a panic

Cause: the sender gives up on an order and resets the connection while the node reads the rest of its body. That read fails, the handler ends, and http.Server reads on: this time the body ends, for which it starts a second reader beside the one that waits for the next request. Callers saw nothing of it, since the connection was gone already; each cost a stack trace on a busy node. Change: a body that can't be read to its end ends the handler and with it the connection. Ruled out: connections in use (the trace names only connections that the peer had reset), bodies above 256 KiB (their answers announce the end). Test: "closes a connection that is reset before the end of a refused order's body", red before.

--- a/internal/relay/ibisforward/body.go
+++ b/internal/relay/ibisforward/body.go
@@ -48,10 +48,14 @@
 }
 
 // DiscardRest reads what is left of a short body, once its answer has been sent. If the end of the body were left to http.Server, it
-// would read the connection twice at once after the handler's end, panic and close it.
+// would read the connection twice at once after the handler's end, panic and close it. So it ends the handler, and with it the
+// connection, if the body has no end since the sender has gone.
 func (b *RequestBody) DiscardRest() {
-	if b.isShort() && !b.ended.Load() {
-		_, _ = io.Copy(io.Discard, b)
+	if !b.isShort() || b.ended.Load() {
+		return
+	}
+	if _, err := io.Copy(io.Discard, b); err != nil {
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -288,6 +289,30 @@
 		}
 	})
 
+	// Guards against a panic of net/http on a connection whose peer resets it after the refusal: the failed read of the rest of the body
+	// is followed by an end of the body, which http.Server meets after the handler's end (incident 004).
+	It("closes a connection that is reset before the end of a refused order's body", func() {
+		var logged bytes.Buffer
+		server := httptest.NewUnstartedServer(ibisforward.Handler(target(func(context.Context, ibismessage.Order) ibismessage.Answer {
+			return ibismessage.NotRun(ibismessage.ReasonBusy, time.Second, nil)
+		}), rate.NewLimiter(rate.Inf, 0), closing.Load, clock, zap.NewNop()))
+		server.Config.ErrorLog = log.New(&logged, "", 0)
+		server.Start()
+		for range 20 {
+			conn, err := net.Dial("tcp4", strings.TrimPrefix(server.URL, "http://"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\nX-Ibis-Order: {\"id\":\"r\",\"key\":-1,\"leftMs\":1000}\r\n\r\npart")
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+			Expect(conn.Close()).To(Succeed())
+		}
+		server.Close()
+		Expect(logged.String()).To(BeEmpty())
+	})
+
 	It("rejects a request that is not an order of a node", func() {
 		_, address := newClient(func(context.Context, ibismessage.Order) ibismessage.Answer {
 			panic("a malformed order must not reach the target")
