ibisfeed: a full read that is older than what another node offered pauses and repeats, with its test

Found by removing guards by hand: that a full read doesn't take back newer changes had no test, and a store that kept answering with an older version would have been read without a pause.

--- a/internal/relay/ibisfeed/follower.go
+++ b/internal/relay/ibisfeed/follower.go
@@ -165,7 +165,8 @@
 	ibistimer.Sleep(ctx, delay)
 }
 
-// readSnapshot reads and applies the whole table. It reports false without an error if changes from another node are newer.
+// readSnapshot reads and applies the whole table. It reports false without an error, after a pause, if changes from another node
+// are newer.
 func (f *Follower) readSnapshot(ctx context.Context) (bool, error) {
 	var read ibisstore.Snapshot
 	for _, partition := range f.options.Partitions() {
@@ -180,14 +181,23 @@
 			read.Version = snapshot.Version
 		}
 	}
+	if f.applySnapshot(read) {
+		return true, nil
+	}
+	ibistimer.Sleep(ctx, minBackoff)
+	return false, nil
+}
+
+// applySnapshot applies a full read, and reports false if changes from another node are newer.
+func (f *Follower) applySnapshot(read ibisstore.Snapshot) bool {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	if read.Version < f.position {
-		return false, nil
+		return false
 	}
 	f.options.Apply(read, true)
 	f.position, f.known = read.Version, true
-	return true, nil
+	return true
 }
 
 // feed waits for changes after the position and applies them.
--- a/internal/relay/ibisfeed/follower_test.go
+++ b/internal/relay/ibisfeed/follower_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,9 +142,14 @@
 			go f.Run(ctx)
 			Eventually(func() bool { _, known := f.Position(); return known }, "5s").Should(BeTrue())
 			Expect(f.Offer(after, version, rows)).To(Succeed())
-			Expect(slices.Sorted(maps.Keys(v.contents()))).To(ConsistOf(applied))
+			names := func() []string { return slices.Sorted(maps.Keys(v.contents())) }
+			Expect(names()).To(ConsistOf(applied))
 			position, _ := f.Position()
 			Expect(position).To(Equal(max(ibisstore.NewVersion(1, 10), ibisstore.NewVersion(1, uint64(10+len(applied))))))
+			reads := store.reads.Load()
+			f.Reread()
+			Eventually(store.reads.Load, "5s").Should(BeNumerically(">", reads))
+			Consistently(names, "50ms").Should(ConsistOf(applied), "after a full read of version 10")
 		},
 		Entry("the changes that follow", ibisstore.NewVersion(1, 10), ibisstore.NewVersion(1, 12), "11", "12"),
 		Entry("changes of which it has some", ibisstore.NewVersion(1, 7), ibisstore.NewVersion(1, 12), "11", "12"),
@@ -176,9 +182,11 @@
 	ibisstore.Store
 	waits   chan time.Duration
 	version uint64
+	reads   atomic.Int32
 }
 
 func (s *failingStore) Rows(context.Context, string, string) (ibisstore.Snapshot, error) {
+	s.reads.Add(1)
 	return ibisstore.Snapshot{Version: max(1, s.version)}, nil
 }
 
--- a/internal/relay/ibisrange/call.go
+++ b/internal/relay/ibisrange/call.go
@@ -207,7 +207,7 @@
 	}
 }
 
-// applyGrantOutcome records a grant that was answered, or one that may have arrived or may arrive until now.
+// applyGrantOutcome records a grant that was answered, or one that the backend server may have read or may still read.
 func (s *server) applyGrantOutcome(c call, outcome CallOutcome, now time.Time) {
 	grant := grantedSpan{
 		Span:        c.Span,
