ibisneighbor: a subscriber that lacks more than a publisher's changes gets the whole table

Change: such a node gets the whole table as what changed after version zero, compressed like the rest. Tests: "gets the whole table from nodes that lack changes which it needs" (before: nothing), an offer of the whole table in ibisfeed, and a publisher that has read nothing; two mutations.

--- a/internal/relay/ibisfeed/follower.go
+++ b/internal/relay/ibisfeed/follower.go
@@ -86,8 +86,8 @@
 }
 
 // Offer applies the changes between two versions that another node has read, unless it has them already or lacks changes before
-// them. It calls rows only if it applies them, and fails if that does. Changes of another era than that of the follower's own last
-// answer from the store are not applied.
+// them; after version zero, rows returns the whole table. It calls rows only if it applies them, and fails if that does. Changes of
+// another era than that of the follower's own last answer from the store are not applied.
 func (f *Follower) Offer(after, version uint64, rows func() ([]ibisstore.Row, error)) error {
 	f.applying.Lock()
 	defer f.applying.Unlock()
@@ -98,10 +98,16 @@
 	if err != nil {
 		return err
 	}
-	f.applyChanges(ibisstore.Snapshot{
+	changes := ibisstore.Snapshot{
 		Rows:    read,
 		Version: version,
-	})
+	}
+	if after > 0 {
+		f.applyChanges(changes)
+		return nil
+	}
+	f.options.Apply(changes, true)
+	f.position = version
 	return nil
 }
 
--- a/internal/relay/ibisneighbor/copy.go
+++ b/internal/relay/ibisneighbor/copy.go
@@ -116,15 +116,19 @@
 	return c.changesAfter(version), c.changed, true
 }
 
-// KnownAfter is like ChangesAfter, for nodes that also read from the store themselves: it returns what the copy has, wherever that
-// came from.
-func (c *Copy) KnownAfter(version uint64) (ibisstore.Snapshot, <-chan struct{}, bool) {
+// newsAfter returns what a node at the version lacks, for nodes that also read from the store themselves: the changes after the
+// version or, if the copy doesn't have all of them, the whole table, which is what changed after version zero. It reports false if
+// the copy is closed or empty.
+func (c *Copy) newsAfter(version uint64) (after uint64, changes ibisstore.Snapshot, changed <-chan struct{}, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed || c.version == 0 {
+		return 0, ibisstore.Snapshot{}, c.changed, false
+	}
 	if !c.hasAfter(version) {
-		return ibisstore.Snapshot{}, c.changed, false
+		version = 0
 	}
-	return c.changesAfter(version), c.changed, true
+	return version, c.changesAfter(version), c.changed, true
 }
 
 // hasAfter reports whether the copy has every change after the version; c.mu is held.
--- a/internal/relay/ibisneighbor/publisher.go
+++ b/internal/relay/ibisneighbor/publisher.go
@@ -25,7 +25,7 @@
 	messageTimeout = 10 * time.Second
 )
 
-// wireMessage is one message of a subscription: the changes between two versions.
+// wireMessage is one message of a subscription: the changes between two versions. After version zero, it has the whole table.
 type wireMessage struct {
 	After   uint64
 	Version uint64
@@ -69,9 +69,9 @@
 	})
 }
 
-// serve sends the changes after the version until the subscriber leaves, or the copy lacks changes that the subscriber needs.
-func (p *Publisher) serve(w http.ResponseWriter, r *http.Request, after uint64) {
-	changes, changed, ok := p.local.KnownAfter(after)
+// serve sends the changes after the version until the subscriber leaves or the copy is closed.
+func (p *Publisher) serve(w http.ResponseWriter, r *http.Request, version uint64) {
+	after, changes, changed, ok := p.local.newsAfter(version)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -92,14 +92,13 @@
 			p.log.Debug("subscriber has left", zap.String("from", r.RemoteAddr), zap.Error(err))
 			return
 		}
-		after = changes.Version
 		select {
 		case <-changed:
 		case <-beat.C:
 		case <-r.Context().Done():
 			return
 		}
-		changes, changed, ok = p.local.KnownAfter(after)
+		after, changes, changed, ok = p.local.newsAfter(changes.Version)
 	}
 }
 
--- a/internal/relay/ibisneighbor/subscriber.go
+++ b/internal/relay/ibisneighbor/subscriber.go
@@ -42,7 +42,7 @@
 type Follower interface {
 	// Position returns the version up to which the follower has the table, and false before it has read the table once.
 	Position() (version uint64, ok bool)
-	// Offer gives it the changes after a version, whose rows it reads only if it lacks them.
+	// Offer gives it the changes after a version, or the whole table after version zero, whose rows it reads only if it lacks them.
 	Offer(after, version uint64, rows func() ([]ibisstore.Row, error)) error
 }
 
