--- a/internal/relay/ibisadmission/notice_test.go
+++ b/internal/relay/ibisadmission/notice_test.go
@@ -159,6 +159,17 @@
 		})
 	}
 
+	It("keeps to another rate limit as soon as the server names that", func() {
+		server.setNotice(rateLimit(20))
+		load(2 * time.Second)
+		server.setNotice(rateLimit(2.5))
+		load(time.Second)
+		Expect(guard.Stats().RateLimit).To(BeEquivalentTo(2.5))
+		lowered := clock.Now()
+		load(4 * time.Second)
+		Expect(len(server.arrivals(lowered))).To(BeNumerically("<=", 1.5*2.5*4+5))
+	})
+
 	It("sends it as much as before once its answers name no limit", func() {
 		server.setNotice(rateLimit(5))
 		load(2 * time.Second)
