--- a/internal/relay/ibisneighbor/copy.go
+++ b/internal/relay/ibisneighbor/copy.go
@@ -116,10 +116,10 @@
 	return c.changesAfter(version), c.changed, true
 }
 
-// newsAfter returns what a node at the version lacks, for nodes that also read from the store themselves: the changes after the
+// updateFor returns what a node at the version lacks, for nodes that also read from the store themselves: the changes after the
 // version or, if the copy doesn't have all of them, the whole table, which is what changed after version zero. It reports false if
 // the copy is closed or empty.
-func (c *Copy) newsAfter(version uint64) (after uint64, changes ibisstore.Snapshot, changed <-chan struct{}, ok bool) {
+func (c *Copy) updateFor(version uint64) (after uint64, changes ibisstore.Snapshot, changed <-chan struct{}, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.version == 0 {
--- a/internal/relay/ibisneighbor/publisher.go
+++ b/internal/relay/ibisneighbor/publisher.go
@@ -19,8 +19,8 @@
 const (
 	// headerSubscribeAfter marks a subscription to the changes of a table; its value is the version after which they are sent.
 	headerSubscribeAfter = "X-Ibis-Subscribe-After"
-	// beatInterval is the time between two messages of a subscription without changes.
-	beatInterval = 2 * time.Second
+	// heartbeatInterval is the time between two messages of a subscription while there are no changes.
+	heartbeatInterval = 2 * time.Second
 	// messageTimeout limits the time in which a subscriber's connection takes a message.
 	messageTimeout = 10 * time.Second
 )
@@ -71,14 +71,14 @@
 
 // serve sends the changes after the version until the subscriber leaves or the copy is closed.
 func (p *Publisher) serve(w http.ResponseWriter, r *http.Request, version uint64) {
-	after, changes, changed, ok := p.local.newsAfter(version)
+	after, changes, changed, ok := p.local.updateFor(version)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.Header().Set("Connection", "close")
-	beat := time.NewTicker(beatInterval)
-	defer beat.Stop()
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
 	controller := http.NewResponseController(w)
 	messages := gob.NewEncoder(w)
 	for ok {
@@ -94,11 +94,11 @@
 		}
 		select {
 		case <-changed:
-		case <-beat.C:
+		case <-heartbeat.C:
 		case <-r.Context().Done():
 			return
 		}
-		after, changes, changed, ok = p.local.newsAfter(changes.Version)
+		after, changes, changed, ok = p.local.updateFor(changes.Version)
 	}
 }
 
--- a/internal/relay/ibisneighbor/subscriber.go
+++ b/internal/relay/ibisneighbor/subscriber.go
@@ -26,8 +26,8 @@
 const (
 	// subscriptions is the number of nodes that a subscriber is subscribed to at once: one of them may be slow itself.
 	subscriptions = 2
-	// silenceTimeout ends a subscription without messages: three intervals, and the wait of a packet at a full link.
-	silenceTimeout = 3*beatInterval + 2*time.Second
+	// silenceTimeout ends a subscription without messages: three heartbeats, and the wait of a packet at a full link.
+	silenceTimeout = 3*heartbeatInterval + 2*time.Second
 	// subscribeDialTimeout limits dialling: on a full link the answer of the peer waits for seconds.
 	subscribeDialTimeout = 5 * time.Second
 	// verifyTimeout limits a verification; its caller waits for it.
