--- a/review/_case/takeover_test.go
+++ b/review/_case/takeover_test.go
@@ -12,7 +12,7 @@
 const (
 	// lostMachines is the number of machines that lose power at once, and keptMachines the number of those with a backend server of
 	// the same service that don't.
-	lostMachines = 56
+	lostMachines = 80
 	keptMachines = 4
 	// otherMachines is the number of machines of another service, where the callers are.
 	otherMachines = 3
