Review case 3: one backend server holds all keys before five more are added

The times of the drill were close to where the case does not show. Now one server holds everything first, so that what decides is the time from its last grant to the first heartbeat of a new one.

--- a/review/_case/drill_test.go
+++ b/review/_case/drill_test.go
@@ -15,13 +15,17 @@
 	// drillDesk and drillFloor are the numbers of machines of the two services.
 	drillDesk  = 2
 	drillFloor = 6
-	// addInterval is the time between two machines that are added.
-	addInterval = 500 * time.Millisecond
+	// addInterval is the time between two machines that are added after the first one of the divided service.
+	addInterval = 305 * time.Millisecond
+	// settleTime is the time from the last one until the drill.
+	settleTime = time.Second
 	// storeAway is how long the store is away in a drill, and copyAge the age of the copy from which it comes back.
 	storeAway = 300 * time.Millisecond
 	copyAge   = 5 * time.Second
+	// drillRestart is the time until a killed process is started again.
+	drillRestart = 550 * time.Millisecond
 	// secondKill is the time from the restart of the first process until the others are killed.
-	secondKill = 3400 * time.Millisecond
+	secondKill = 3200 * time.Millisecond
 	// watchInterval is the time between two looks at what the backend servers hold.
 	watchInterval = 5 * time.Millisecond
 	// longestOverlap is how long two backend servers may hold the same keys.
@@ -30,8 +34,9 @@
 	watchTime = 12 * time.Second
 )
 
-// drillAfterDivision adds the backend servers of a service that is divided by key, and soon after that has the store come back from
-// a copy of before the first division. Then the process of one machine is killed, and later those of all others.
+// drillAfterDivision adds a backend server of a service that is divided by key, and once it holds all keys five more. Soon after that
+// the store comes back from a copy of before the first division. Then the process of one machine is killed, and later those of all
+// others.
 func drillAfterDivision(w *world, trouble bool) ([]string, error) {
 	if err := w.startStore(configOf(7, route{
 		name:      "proof-approval",
@@ -61,20 +66,23 @@
 		return c.send(http.MethodGet, hostName, "/lohu930/2f", -1)
 	})
 	time.Sleep(8 * time.Second)
-	for range drillFloor {
-		if err := w.addMachines(serviceFloor, 1, noted); err != nil {
-			return nil, err
-		}
-		time.Sleep(addInterval)
+	if err := w.addMachines(serviceFloor, 1, noted); err != nil {
+		return nil, err
 	}
 	if err := w.awaitHeld(); err != nil {
 		return nil, err
 	}
+	for range drillFloor - 1 {
+		time.Sleep(addInterval)
+		if err := w.addMachines(serviceFloor, 1, noted); err != nil {
+			return nil, err
+		}
+	}
 	floor := startLoad(w.machines, 4, time.Second, 30*time.Millisecond, func(c *caller) outcome {
 		return c.send(http.MethodPost, hostName, "/pufi791/2f", rand.IntN(1<<16))
 	})
 	watched := w.watchHolders()
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(settleTime + addInterval)
 	if trouble {
 		if err := w.drillAndKills(); err != nil {
 			return nil, err
@@ -152,7 +160,7 @@
 	for _, m := range machines {
 		m.awaitExit(graceTime)
 	}
-	time.Sleep(restartDelay)
+	time.Sleep(drillRestart)
 	for _, m := range machines {
 		if err := m.start(); err != nil {
 			return err
