--- a/review/_case/world_test.go
+++ b/review/_case/world_test.go
@@ -31,6 +31,8 @@
 	contactTime = 3 * time.Second
 	graceTime   = 6 * time.Second
 	startLimit  = 40 * time.Second
+	// restartDelay is the time until a killed process is started again.
+	restartDelay = 500 * time.Millisecond
 )
 
 // zones maps the zones of a small deployment to their regions.
@@ -151,6 +153,28 @@
 	return m, m.writeSettings(linkMbps)
 }
 
+// addMachines adds machines with a backend server of a service and starts them.
+func (w *world) addMachines(service string, count int, noted *runs) error {
+	for range count {
+		m, err := w.addMachine(service)
+		if err != nil {
+			return err
+		}
+		if _, err := w.startBackend(m, backendConfig{
+			id:      fmt.Sprintf("i-%s%04d", service[:5], len(w.machines)),
+			slots:   12,
+			sharded: service == serviceFloor,
+			work:    20 * time.Millisecond,
+		}, noted); err != nil {
+			return err
+		}
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // writeSettings writes the settings file as the template of the deploy file gives it, with the bandwidth of the link.
 func (m *machine) writeSettings(link int) error {
 	_, metricsPort, err := net.SplitHostPort(m.metrics)
@@ -247,6 +271,23 @@
 	}
 }
 
+// killAndRestart kills the processes of machines at once and starts them again.
+func killAndRestart(machines ...*machine) error {
+	for _, m := range machines {
+		m.signal(syscall.SIGKILL)
+	}
+	for _, m := range machines {
+		m.awaitExit(graceTime)
+	}
+	time.Sleep(restartDelay)
+	for _, m := range machines {
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // isReady asks whether the node can serve.
 func (m *machine) isReady() bool {
 	client := http.Client{
