Keep SIGHUP handled until the process has exited

Cause: reloadSignals ended its goroutine with the context of SIGTERM and called signal.Stop, which gives SIGHUP its default action back for the whole of the graceful stop. The exit status shows it ("signal: hangup"); ruled out that the reload itself ends the node: handleReloads only logs, and the log has no line of a reload.

The same cause on related paths, each shown by a test that failed before: - SIGHUP while the settings are read at the start ended the process; it is handled from the first line of main now. - SIGHUP between the last answer and the exit made a clean stop end by a signal. - ibisridge node had no handling of SIGHUP at all: it cut orders while serving and while stopping. It logs the signal now and goes on. - A second SIGTERM after the node's stop, before the exit, ended the process by the signal: the programs called the stop function of NotifyContext.

Change: the handling is set up once and never undone, so there is no phase in which a default action applies; the goroutine between the signals and the node is gone, a signal during a reload is kept in the channel's buffer.

--- a/cmd/ibisrelay/main.go
+++ b/cmd/ibisrelay/main.go
@@ -21,11 +21,12 @@
 )
 
 func main() {
+	reloads := ibisrun.Reloads()
+	// Signals stay handled until the process has exited, so that a second SIGTERM does not end a graceful stop.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	var arguments ibisrun.Arguments
 	arg.MustParse(&arguments)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := ibisrun.Relay(ctx, arguments, os.Stdout)
-	stop()
+	err := ibisrun.Relay(ctx, reloads, arguments, os.Stdout)
 	switch {
 	case err == nil:
 		return
--- a/cmd/ibisridge/main.go
+++ b/cmd/ibisridge/main.go
@@ -11,8 +11,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := ibiscli.Run(ctx, os.Args[1:], ibiscli.System())
-	stop()
-	os.Exit(code)
+	// Signals stay handled until the process has exited, so that a second SIGTERM does not end a graceful stop.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	os.Exit(ibiscli.Run(ctx, os.Args[1:], ibiscli.System()))
 }
--- a/internal/program/ibiscli/node.go
+++ b/internal/program/ibiscli/node.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"os"
+
+	"go.uber.org/zap"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/node/ibislog"
 	"github.com/ibisridge/ibisridge/internal/node/ibisnode"
 	"github.com/ibisridge/ibisridge/internal/node/ibissettings"
+	"github.com/ibisridge/ibisridge/internal/program/ibisrun"
 	"github.com/ibisridge/ibisridge/platform"
 )
 
@@ -45,6 +49,7 @@
 }
 
 func (c *nodeCommand) run(ctx context.Context, t Terminal) error {
+	reloads := ibisrun.Reloads()
 	settings, err := c.load(t)
 	if err != nil {
 		return err
@@ -63,5 +68,13 @@
 	}
 	_, _ = fmt.Fprintf(t.Out, "node %s: callers on %s, operators on %s, backend server announces to http://%s\n",
 		settings.Name, node.CallerAddress(), node.OperatorAddress(), node.BackendAddress())
+	go logReloads(reloads, log)
 	return node.Run(ctx)
 }
+
+// logReloads logs that the settings of a running node do not change, at each SIGHUP.
+func logReloads(reloads <-chan os.Signal, log *zap.Logger) {
+	for range reloads {
+		log.Warn("SIGHUP is ignored; settings are read at the start only")
+	}
+}
--- a/internal/program/ibisrun/relay.go
+++ b/internal/program/ibisrun/relay.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/node/ibislog"
@@ -25,9 +23,9 @@
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
 }
 
-// Relay runs a node until the context ends and then shuts it down gracefully; SIGHUP reloads the settings. With Check it
-// only prints the settings. It fails with ErrSettings if settings or flags are invalid.
-func Relay(ctx context.Context, a Arguments, out io.Writer) error {
+// Relay runs a node until the context ends and then shuts it down gracefully; it reads the settings again at each value of
+// reloads. With Check it only prints the settings. It fails with ErrSettings if settings or flags are invalid.
+func Relay(ctx context.Context, reloads <-chan os.Signal, a Arguments, out io.Writer) error {
 	load := func() (platform.Settings, error) { return platform.ReadSettings(a.Settings) }
 	settings, err := load()
 	if err != nil {
@@ -46,28 +44,5 @@
 	}
 	workCtx, cancelWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelWork()
-	return platform.NewNode(workCtx, settings, ibistimer.New(), log).Run(ctx, reloadSignals(ctx), load)
-}
-
-// reloadSignals returns a channel that receives a value at each SIGHUP until the context ends.
-func reloadSignals(ctx context.Context) <-chan struct{} {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	reload := make(chan struct{})
-	go func() {
-		defer signal.Stop(hup)
-		for {
-			select {
-			case <-hup:
-			case <-ctx.Done():
-				return
-			}
-			select {
-			case reload <- struct{}{}:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return reload
+	return platform.NewNode(workCtx, settings, ibistimer.New(), log).Run(ctx, reloads, load)
 }
--- a/internal/scenario/ibisscenario/node.go
+++ b/internal/scenario/ibisscenario/node.go
@@ -14,7 +14,7 @@
 	"github.com/ibisridge/ibisridge/internal/node/ibissettings"
 )
 
-const nodeUsage = "node start NAME region=REGION domain=DOMAIN | node freeze|thaw|kill|stop|cut|join NAME"
+const nodeUsage = "node start NAME region=REGION domain=DOMAIN | node freeze|thaw|kill|stop|terminate|hangup|cut|join NAME"
 
 // nodeCommand starts a node, or brings a fault on it.
 func (w *world) nodeCommand(_ *testscript.TestScript, args []string) error {
--- a/internal/scenario/ibisscenario/process.go
+++ b/internal/scenario/ibisscenario/process.go
@@ -1,6 +1,7 @@
 package ibisscenario
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -79,11 +80,19 @@
 	<-p.ended
 }
 
-// stop asks the process to end and fails where it does not end cleanly.
-func (p *process) stop() error {
+// terminate asks the process to end, without waiting for that.
+func (p *process) terminate() error {
 	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return fmt.Errorf("stop %s: %w", p.name, err)
 	}
+	return nil
+}
+
+// stop asks the process to end, unless it has been asked and has ended, and fails where it does not end cleanly.
+func (p *process) stop() error {
+	if err := p.terminate(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
 	select {
 	case <-p.ended:
 	case <-time.After(stopTimeout):
@@ -108,6 +117,10 @@
 		return true, nil
 	case "stop":
 		return true, p.stop()
+	case "terminate":
+		return true, p.terminate()
+	case "hangup":
+		return true, p.cmd.Process.Signal(syscall.SIGHUP)
 	}
 	return false, nil
 }
--- a/internal/scenario/ibisscenario/runner.go
+++ b/internal/scenario/ibisscenario/runner.go
@@ -27,10 +27,8 @@
 	_ = flag.Set("test.parallel", strconv.Itoa(parallelScenarios))
 	testscript.Main(m, map[string]func(){
 		program: func() {
-			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-			code := ibiscli.Run(ctx, os.Args[1:], ibiscli.System())
-			stop()
-			os.Exit(code)
+			ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			os.Exit(ibiscli.Run(ctx, os.Args[1:], ibiscli.System()))
 		},
 	})
 }
