Outlive the reader of the log

Callers saw: once the process that reads a node's output had ended, the next log line ended the node; every request in flight got no answer, and so did each new process at its first line, planned stops included.

Cause: a write to a broken pipe on descriptor 1 or 2 makes the Go runtime raise SIGPIPE with its default action unless the program handles or ignores it. Found by playing each signal in each phase.

Change: relay and node ignore SIGPIPE; the write fails instead, and the line is lost, as DroppingWriter already allows. One-shot commands keep the default, so that `ibisridge doc log | head` ends.

Test: TestSignals, the reader of the log ends while the node serves and while it stops. Before: both red (EOF for the order while serving; the process gone before its readiness changed). After: ok under the race detector.

--- a/cmd/ibisrelay/signal_test.go
+++ b/cmd/ibisrelay/signal_test.go
@@ -215,9 +215,13 @@
 	harmless := []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGPIPE, syscall.SIGALRM, syscall.SIGHUP}
 	stops := []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGTERM}
 	tests := []struct {
-		name                                   string
-		settings, serving, stopping, untilExit []syscall.Signal
-		stop                                   syscall.Signal
+		name               string
+		settings           []syscall.Signal
+		serving, stopping  []syscall.Signal
+		untilExit          []syscall.Signal
+		stop               syscall.Signal
+		closeLogWhileWork  bool
+		closeLogWhileStops bool
 	}{
 		{
 			name:     "while it reads its settings at the start",
@@ -244,12 +248,27 @@
 			untilExit: stops,
 			stop:      syscall.SIGTERM,
 		},
+		{
+			name:              "by the end of the reader of its log while it serves",
+			closeLogWhileWork: true,
+			serving:           harmless,
+			stop:              syscall.SIGTERM,
+		},
+		{
+			name:               "by the end of the reader of its log while it stops",
+			closeLogWhileStops: true,
+			stop:               syscall.SIGTERM,
+		},
 	}
 	for i, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			p := startProcess(t, fmt.Sprintf("127.0.78.%d", i+1))
-			go func() { _, _ = io.Copy(io.Discard, p.logReader) }()
+			go func() {
+				if !test.closeLogWhileWork && !test.closeLogWhileStops {
+					_, _ = io.Copy(io.Discard, p.logReader)
+				}
+			}()
 			settings, err := os.OpenFile(p.file, os.O_WRONLY, 0)
 			if err != nil {
 				t.Fatal(err)
@@ -260,6 +279,9 @@
 
 			serving := p.book()
 			p.awaitRunning(1)
+			if test.closeLogWhileWork {
+				_ = p.logReader.Close()
+			}
 			p.signal(test.serving...)
 			if err := <-serving; err != nil {
 				t.Errorf("order while serving: %v", err)
@@ -267,6 +289,9 @@
 
 			stopping := p.book()
 			p.awaitRunning(2)
+			if test.closeLogWhileStops {
+				_ = p.logReader.Close()
+			}
 			p.signal(test.stop)
 			p.awaitReadiness(http.StatusServiceUnavailable)
 			p.signal(test.stopping...)
--- a/internal/program/ibisrun/signal.go
+++ b/internal/program/ibisrun/signal.go
@@ -6,10 +6,12 @@
 	"syscall"
 )
 
-// Reloads returns the SIGHUPs of the process from now on; one that arrives while another is handled is kept.
+// Reloads returns the SIGHUPs of the process from now on; one that arrives while another is handled is kept. It also ignores
+// SIGPIPE, which the Go runtime raises once the reader of the log is gone.
 //
-// They are handled until the process exits, since the default action of SIGHUP would cut a graceful stop short.
+// Both hold until the process exits, since the default action of either signal would cut a graceful stop short.
 func Reloads() <-chan os.Signal {
+	signal.Ignore(syscall.SIGPIPE)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	return reloads
