Soak: signals to processes that stop

A stopping process now gets up to four of SIGHUP, SIGTERM, SIGINT and SIGUSR1 at drawn times, from a stream of its own, so that a seed draws the other faults as before. A planned stop that ends by anything but exit 0 or the first signal is reported.

--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -23,6 +23,8 @@
 	crashingTime    = 8 * time.Second
 	crashingPause   = 100 * time.Millisecond
 	crashingRestart = 10
+	// maxFurtherSignals is the greatest number of signals that a process gets while it stops.
+	maxFurtherSignals = 4
 	// longestRewind is the greatest age of the copy from which the store comes back.
 	longestRewind = 4 * time.Second
 )
@@ -237,13 +239,30 @@
 		return
 	}
 	pause := time.Duration(s.random.Int64N(int64(time.Second)))
+	var further []timedSignal
+	if signal == syscall.SIGTERM {
+		further = s.furtherSignals()
+	}
 	s.injected.Go(func() {
-		if err := n.restart(signal, pause); err != nil {
+		if err := n.restart(signal, pause, further); err != nil {
 			s.ledger.Report("%s can't be started again: %v", n.name, err)
 		}
 	})
 }
 
+// furtherSignals draws what a process gets while it stops.
+func (s *soak) furtherSignals() []timedSignal {
+	kinds := []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1}
+	further := make([]timedSignal, s.signalRandom.IntN(maxFurtherSignals+1))
+	for i := range further {
+		further[i] = timedSignal{
+			after:  time.Duration(s.signalRandom.Int64N(int64(graceTime))),
+			signal: kinds[s.signalRandom.IntN(len(kinds))],
+		}
+	}
+	return further
+}
+
 // reborn starts a backend server where none runs.
 func (s *soak) reborn(n *node, sameID bool) {
 	if n.current().Up() {
--- a/internal/measure/ibissoak/node.go
+++ b/internal/measure/ibissoak/node.go
@@ -142,19 +142,35 @@
 	}
 }
 
-// restart ends the process by a signal, kills it after the grace, and starts it again.
-func (n *node) restart(s syscall.Signal, pause time.Duration) error {
+// timedSignal is a signal that a process gets some time after it was asked to stop.
+type timedSignal struct {
+	after  time.Duration
+	signal syscall.Signal
+}
+
+// restart ends the process by a signal, sends it the further ones in their order while it stops, kills it after the grace, and
+// starts it again. It fails if a process that stops as planned is ended by one of them.
+func (n *node) restart(s syscall.Signal, pause time.Duration, further []timedSignal) error {
 	n.mu.Lock()
 	n.stopping = true
-	exited := n.exited
+	exited, process := n.exited, n.process
 	n.mu.Unlock()
 	n.signal(s)
+	for _, f := range further {
+		time.AfterFunc(f.after, func() { _ = process.Process.Signal(f.signal) })
+	}
+	killed := s == syscall.SIGKILL
 	select {
 	case <-exited:
 	case <-time.After(graceTime):
+		killed = true
 		n.signal(syscall.SIGKILL)
 		<-exited
 	}
+	// A process may get the first signal before it handles any.
+	if !killed && !process.ProcessState.Success() && process.ProcessState.Sys().(syscall.WaitStatus).Signal() != s {
+		n.ledger.Report("%s was asked to stop and ended by: %v", n.name, process.ProcessState)
+	}
 	time.Sleep(pause)
 	return n.start()
 }
--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -69,12 +69,14 @@
 type soak struct {
 	config Config
 	random *rand.Rand
-	ledger *ibisapp.Ledger
-	store  *ibisrowstore.Store
-	server *ibisrowstore.Server
-	nodes  []*node
-	faults []string
-	began  time.Time
+	// signalRandom draws signals to stopping processes, apart from random so that a seed draws the other faults as before.
+	signalRandom *rand.Rand
+	ledger       *ibisapp.Ledger
+	store        *ibisrowstore.Store
+	server       *ibisrowstore.Server
+	nodes        []*node
+	faults       []string
+	began        time.Time
 
 	mu       sync.Mutex
 	counts   *tally
@@ -99,10 +101,12 @@
 	s := &soak{
 		config: config,
 		random: rand.New(rand.NewPCG(config.Seed, 3)),
-		ledger: ibisapp.NewLedger(),
-		store:  ibisrowstore.New(),
-		counts: &tally{},
-		upset:  make(map[*node]time.Time),
+
+		signalRandom: rand.New(rand.NewPCG(config.Seed, 4)),
+		ledger:       ibisapp.NewLedger(),
+		store:        ibisrowstore.New(),
+		counts:       &tally{},
+		upset:        make(map[*node]time.Time),
 	}
 	s.server = ibisrowstore.NewServer(s.store, config.Seed)
 	listener, err := net.Listen("tcp4", storeAddress)
