--- a/internal/relay/ibisroster/member.go
+++ b/internal/relay/ibisroster/member.go
@@ -2,7 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
+	"net/url"
+	"strconv"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 )
@@ -70,14 +74,31 @@
 	return value
 }
 
-// DecodeMember decodes the value of a member's row; it fails if a field has the wrong type or the node or address is missing.
+// DecodeMember decodes the value of a member's row; it fails if a field has the wrong type, the node is missing or the
+// address can't be one.
 func DecodeMember(value []byte) (Member, error) {
 	var m Member
 	if err := json.Unmarshal(value, &m); err != nil {
 		return Member{}, fmt.Errorf("decode member row: %w", err)
 	}
-	if m.Node == "" || m.Address == "" {
-		return Member{}, fmt.Errorf("decode member row: node %q and address %q must not be empty", m.Node, m.Address)
+	if m.Node == "" {
+		return Member{}, errors.New("decode member row: node must not be empty")
+	}
+	if !isAddress(m.Address) {
+		return Member{}, fmt.Errorf("decode member row: address %q must be a host and a port from 1 to 65535", m.Address)
 	}
 	return m, nil
 }
+
+func isAddress(text string) bool {
+	_, port, err := net.SplitHostPort(text)
+	if err != nil {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || number == 0 {
+		return false
+	}
+	target, err := url.Parse("http://" + text)
+	return err == nil && target.Host == text && target.Hostname() != ""
+}
