Ownership: bound the figures of pages and leases that are read

Tests, red before: two entries of "A page's row with invalid content is rejected" and "are not taken over because the stated end is out of range".

--- a/internal/relay/ibisrange/era.go
+++ b/internal/relay/ibisrange/era.go
@@ -13,6 +13,9 @@
 // tokenEraShift is the number of low bits of a token that count within an era.
 const tokenEraShift = 32
 
+// maxToken is the greatest token of a page: tokens stay exact as JSON numbers.
+const maxToken = 1<<53 - 1
+
 // firstToken returns the lowest token that is given out in an era: it is above every token of earlier eras, including those
 // that the store has lost.
 func firstToken(era uint64) ibisid.Token { return ibisid.Token(era<<tokenEraShift + 1) }
@@ -80,7 +83,7 @@
 	if !m.pageKnown || m.pageStands() || m.survivor != nil || ibisstore.EraOf(snapshot.Version) != m.era {
 		return
 	}
-	if !slices.ContainsFunc(snapshot.Rows, func(row ibisstore.Row) bool { return row.Key.Name == pageName }) {
+	if !slices.ContainsFunc(snapshot.Rows, func(row ibisstore.Row) bool { return row.Key.Name == PageName }) {
 		m.survivor = &survivingPage{
 			page: m.page,
 		}
--- a/internal/relay/ibisrange/guard_test.go
+++ b/internal/relay/ibisrange/guard_test.go
@@ -155,6 +155,19 @@
 	f.update(ibisrange.ReadEvent{RequestedAt: f.now, Leases: snapshot})
 }
 
+// readOddLease answers a read of the leases in which the row of n2 has the content.
+func (f *fixture) readOddLease(version uint64, content string) {
+	f.update(ibisrange.ReadEvent{RequestedAt: f.now, Leases: &ibisstore.Snapshot{
+		Version: f.version,
+		Clock:   f.storeClock(),
+		Rows: []ibisstore.Row{{
+			Key:     ibisstore.Key{Table: ibisrange.TableLeases, Partition: string(service), Name: "n2"},
+			Value:   []byte(content),
+			Version: version,
+		}},
+	}})
+}
+
 // serving returns a fixture whose lease is valid and whose page is read.
 func serving(delivery ibisrange.Delivery) *fixture {
 	f := newFixture(delivery)
@@ -263,6 +276,17 @@
 		Expect(f.pending).To(HaveKey(ibisrange.PurposeTakeover))
 	})
 
+	// Guards against an end that is no time.Duration and so looked like one in the past.
+	It("are not taken over because the stated end is out of range", func() {
+		for _, end := range []string{"9223372036854775807", "-9223372036854775807", "18446744073710", "1e400"} {
+			f := serving(ibisrange.DeliveryHeartbeat)
+			f.readOddLease(7, `{"writer":"1/1","untilMs":`+end+`}`)
+			f.now = f.now.Add(2*time.Second + takeoverSlack)
+			f.readOddLease(7, `{"writer":"1/1","untilMs":`+end+`}`)
+			Expect(f.pending).NotTo(HaveKey(ibisrange.PurposeTakeover), end)
+		}
+	})
+
 	// Guards against a takeover that waited for the next regular read of the leases.
 	It("are read once another one should have ended", func() {
 		f := serving(ibisrange.DeliveryHeartbeat)
--- a/internal/relay/ibisrange/lease.go
+++ b/internal/relay/ibisrange/lease.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
@@ -17,6 +18,8 @@
 	// aliveWithinRenewals is the number of missed renewals after which a node gets no more ranges. It spans two reads of most
 	// nodes, which read the leases only at every second renewal.
 	aliveWithinRenewals = 4
+	// maxUntilMs is the greatest reading of the store's clock in milliseconds that is a time.Duration.
+	maxUntilMs = math.MaxInt64 / int64(time.Millisecond)
 	// maxUnansweredRenewals is how many renewals without an answer are kept, as they may have taken effect.
 	maxUnansweredRenewals = 8
 )
@@ -70,13 +73,16 @@
 	return value
 }
 
-// decodeLease decodes the content of a lease's row. Content that can't be decoded yields no writer and no end; the lease
+// decodeLease decodes the content of a lease's row. Content that can't be decoded yields no writer and no end, as does an end that is out of range no end; the lease
 // counts as valid all the same until it has been unchanged for a term.
 func decodeLease(value []byte) leaseRow {
 	var r leaseRow
 	if json.Unmarshal(value, &r) != nil {
 		return leaseRow{}
 	}
+	if r.UntilMs < 0 || r.UntilMs > maxUntilMs {
+		r.UntilMs = 0
+	}
 	return r
 }
 
--- a/internal/relay/ibisrange/manager.go
+++ b/internal/relay/ibisrange/manager.go
@@ -16,7 +16,8 @@
 	// every renewal changes it.
 	TableLeases = "ibisLeases"
 
-	pageName = "page"
+	// PageName is the name of a page's row in the partition of its service.
+	PageName = "page"
 	// frequentReaders is the number of nodes that read the leases at each renewal: the coordinator and two stand-ins.
 	frequentReaders = 3
 
@@ -218,7 +219,7 @@
 	return ibisstore.Key{
 		Table:     TablePages,
 		Partition: string(m.config.Service),
-		Name:      pageName,
+		Name:      PageName,
 	}
 }
 
@@ -233,7 +234,7 @@
 // applyPage replaces the page by a newer row; a row that can't be decoded leaves the page unchanged and is reported by an
 // InvalidPageEffect. A row that was written in an earlier era than it was read in becomes the survivor.
 func (m *Manager) applyPage(row ibisstore.Row) {
-	if row.Key.Name != pageName || row.Removed || row.Version <= m.pageVersion || ibisstore.EraOf(row.Version) < m.era {
+	if row.Key.Name != PageName || row.Removed || row.Version <= m.pageVersion || ibisstore.EraOf(row.Version) < m.era {
 		return
 	}
 	page, err := DecodePage(row.Value)
--- a/internal/relay/ibisrange/page_test.go
+++ b/internal/relay/ibisrange/page_test.go
@@ -59,6 +59,8 @@
 		Entry("ranges overlap", `{"owners":[{}],"to":[9,5],"owner":[0,0],"token":[1,1]}`, "page row: a range ends at key 5 but must begin at key 10"),
 		Entry("an owner isn't listed", `{"owners":[{}],"to":[65535],"owner":[1],"token":[1]}`, "page row: the range that ends at key 65535 has owner index 1, but 1 owners are listed"),
 		Entry("keys are missing", `{"owners":[{}],"to":[9],"owner":[0],"token":[1]}`, "page row: ranges contain 10 keys but must contain 65536"),
+		Entry("a range ends far beyond the keys", `{"owners":[{}],"to":[9223372036854775807,65535],"owner":[0,0],"token":[1,1]}`, "page row: a range ends at key 9223372036854775807, but there are 65536 keys"),
+		Entry("a token has none above it", `{"owners":[{}],"to":[65535],"owner":[0],"token":[18446744073709551615]}`, "has token 18446744073709551615, must be at most 9007199254740991"),
 		Entry("too many keys", `{"owners":[{}],"to":[65536],"owner":[0],"token":[1]}`, "page row: ranges contain 65537 keys but must contain 65536"),
 	)
 })
--- a/internal/relay/ibisrange/pagerow.go
+++ b/internal/relay/ibisrange/pagerow.go
@@ -59,7 +59,7 @@
 }
 
 // DecodePage decodes the content of a page's row. It returns an error if the content is no valid JSON, columns differ in
-// length, the ranges don't contain every key exactly once, or the owner of a range isn't listed.
+// length, the ranges don't contain every key exactly once, the owner of a range isn't listed, or no token can be given above one of them.
 func DecodePage(value []byte) (Page, error) {
 	var row pageRow
 	if err := json.Unmarshal(value, &row); err != nil {
@@ -73,6 +73,12 @@
 	}
 	next := 0
 	for i, to := range row.To {
+		if to > Keys {
+			return Page{}, fmt.Errorf("page row: a range ends at key %d, but there are %d keys", to, Keys)
+		}
+		if row.Token[i] > maxToken {
+			return Page{}, fmt.Errorf("page row: the range that ends at key %d has token %d, must be at most %d", to, row.Token[i], uint64(maxToken))
+		}
 		if to < next {
 			return Page{}, fmt.Errorf("page row: a range ends at key %d but must begin at key %d", to, next)
 		}
