--- a/internal/relay/ibisroute/config.go
+++ b/internal/relay/ibisroute/config.go
@@ -13,6 +13,9 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 )
 
+// maxWeight is the greatest weight of a service in a split.
+const maxWeight = 1_000_000_000
+
 // Version is the version of a configuration; versions only grow, in uneven steps.
 type Version uint64
 
@@ -201,8 +204,8 @@
 		if _, ok := c.services[service.Service]; !ok {
 			return fmt.Errorf("service %q does not exist", service.Service)
 		}
-		if service.Weight < 0 {
-			return fmt.Errorf("weight %d of service %q: must not be negative", service.Weight, service.Service)
+		if service.Weight < 0 || service.Weight > maxWeight {
+			return fmt.Errorf("weight %d of service %q: must be from 0 to %d", service.Weight, service.Service, maxWeight)
 		}
 		total += service.Weight
 	}
