Link: believe no refusal that may belong to an earlier request

Cause: a response without an id was accepted for any request if its status was 400, 421, 429 or 503, also on a connection that had served others. A faulty server that writes a refusal beyond a complete answer, when the next order arrives, had it count as the answer to that order. The check for unsolicited bytes before a connection is reused can't see bytes that arrive after the request is written.

Change: Options.Refusals names the statuses; one without the id is believed only in the first response on a connection, and else fails as a mismatch: the order may have run, its connection is closed. A connection remembers which ids were refused on it (64, then it is closed), and a request is not sent again on one that has refused its id: a repetition of that refusal carries the right id.

--- a/internal/relay/ibislink/conn.go
+++ b/internal/relay/ibislink/conn.go
@@ -7,12 +7,17 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-const bufferBytes = 4 << 10
+const (
+	bufferBytes = 4 << 10
+	// maxRefusedIDs is the number of requests that may be refused on a connection before it is closed.
+	maxRefusedIDs = 64
+)
 
 // conn is a connection with its read buffer.
 type conn struct {
@@ -21,8 +26,16 @@
 	source    *io.LimitedReader
 	reader    *bufio.Reader
 	idleUntil time.Time
+	// used means that a response has arrived on the connection.
+	used bool
+	// refusedIDs lists the ids of requests that were refused on the connection.
+	refusedIDs []string
 }
 
+// hasRefused reports whether a request with the id was refused on the connection: a repetition of that refusal could not be told
+// from one of another request with the id.
+func (c *conn) hasRefused(id string) bool { return slices.Contains(c.refusedIDs, id) }
+
 func newConn(tcp *net.TCPConn) *conn {
 	source := &io.LimitedReader{
 		R: tcp,
--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -32,7 +32,7 @@
 // Exchange sends a request once and returns the response, whose body is still to be read. It fails with ErrNotSent if no
 // byte was written; after any other error the request may have run. Cancelling the context closes the connection.
 func (p *Pool) Exchange(ctx context.Context, request Request) (*Response, error) {
-	c, err := p.get(ctx)
+	c, err := p.get(ctx, request.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -164,7 +164,7 @@
 		if x.pool.options.IDHeader != "" {
 			got = response.Header.Get(x.pool.options.IDHeader)
 		}
-		if got == id || got == "" && isRefusalWithoutID(response) {
+		if x.believes(response, got, id) {
 			return response, nil
 		}
 		x.sawMismatch = true
@@ -180,11 +180,18 @@
 	return nil, fmt.Errorf("%w: more than %d responses from %s to earlier requests", ErrMismatchedResponse, maxMismatched, x.pool.options.Address)
 }
 
-// isRefusalWithoutID reports whether a response has a status with which a server may refuse a request before it has read
-// the request's id.
-func isRefusalWithoutID(r *http.Response) bool {
-	return r.StatusCode == http.StatusBadRequest || r.StatusCode == http.StatusServiceUnavailable ||
-		r.StatusCode == http.StatusMisdirectedRequest || r.StatusCode == http.StatusTooManyRequests
+// believes reports whether the response, which carries the id got, is taken for the one to the request with the id.
+func (x *exchange) believes(response *http.Response, got, id string) bool {
+	first := !x.conn.used
+	x.conn.used = true
+	if !x.pool.options.Refusals.Has(response.StatusCode) {
+		return got == id
+	}
+	if got != "" && got == id {
+		x.conn.refusedIDs = append(x.conn.refusedIDs, id)
+		return true
+	}
+	return got == "" && first
 }
 
 // end returns the connection to the pool or closes it.
@@ -192,7 +199,7 @@
 	x.endOnce.Do(func() {
 		stopped := x.stopCloseOnCancel()
 		reusable = reusable && x.conn.tcp.SetReadDeadline(time.Time{}) == nil
-		if reusable && stopped && x.wroteAll() && x.conn.reader.Buffered() == 0 {
+		if reusable && stopped && x.wroteAll() && x.conn.reader.Buffered() == 0 && len(x.conn.refusedIDs) < maxRefusedIDs {
 			x.pool.put(x.conn, x.keepAlive)
 			return
 		}
--- a/internal/relay/ibislink/pool.go
+++ b/internal/relay/ibislink/pool.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 )
 
 const (
@@ -30,6 +32,10 @@
 	Address string
 	// IDHeader is the header in which responses repeat the id of their request; empty if they carry none.
 	IDHeader string
+	// Refusals are the statuses with which the peer says that it hasn't carried out a request. Where the response doesn't carry
+	// the id of its request, such a status is believed only in the first response on a connection: a faulty peer may write an
+	// earlier refusal once more.
+	Refusals ibisset.Set[int]
 	// MaxOpen is the maximum number of open connections; zero means no limit.
 	MaxOpen int
 	// MayDial, if set, is called before a connection is opened; no connection is opened if it fails.
@@ -100,14 +106,14 @@
 	}
 }
 
-// get returns a usable idle connection or a new one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
+// get returns a usable idle connection on which no request with the id has been refused, or a new one.
+func (p *Pool) get(ctx context.Context, id string) (*conn, error) {
 	for {
 		c := p.takeIdle()
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if time.Now().Before(c.idleUntil) && c.isUsable() {
+		if time.Now().Before(c.idleUntil) && !c.hasRefused(id) && c.isUsable() {
 			return c, nil
 		}
 		p.discard(c)
--- a/internal/relay/ibislink/pool_test.go
+++ b/internal/relay/ibislink/pool_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 )
 
@@ -131,6 +132,73 @@
 		Expect(read(response)).To(Equal("second"))
 	})
 
+	// Guards against an earlier refusal that a peer writes once more: it was taken for the response to the next request, which ran.
+	DescribeTable("believes a refusal without an id only in the first response on a connection",
+		func(status int) {
+			refusal := fmt.Sprintf("HTTP/1.1 %d No\r\nContent-Length: 0\r\n\r\n", status)
+			address, _ := serve(func(c, n int, id string) (string, bool) {
+				if c == 0 && n == 0 {
+					return completeResponse(id, "first"), false
+				}
+				return refusal, false
+			})
+			p := ibislink.New(ibislink.Options{Address: address, IDHeader: "Id", Refusals: ibisset.Of(400, 421, 429, 503)})
+			DeferCleanup(p.Close)
+			response, err := p.Exchange(ctx, request("r1"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read(response)).To(Equal("first"))
+			_, err = p.Exchange(ctx, request("r2"))
+			Expect(err).To(MatchError(ibislink.ErrMismatchedResponse))
+			Expect(err).NotTo(MatchError(ibislink.ErrNotSent))
+			response, err = p.Exchange(ctx, request("r3"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Status).To(Equal(status))
+			Expect(p.Opened()).To(BeEquivalentTo(2))
+		},
+		Entry(nil, 400),
+		Entry(nil, 421),
+		Entry(nil, 429),
+		Entry(nil, 503),
+	)
+
+	It("sends a request again on another connection than the one on which it was refused", func() {
+		refusal := func(id string) string {
+			return "HTTP/1.1 503 No\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"
+		}
+		address, _ := serve(func(c, _ int, id string) (string, bool) {
+			if c == 0 {
+				return refusal(id), false
+			}
+			return completeResponse(id, "run"), false
+		})
+		p := ibislink.New(ibislink.Options{Address: address, IDHeader: "Id", Refusals: ibisset.Of(503)})
+		DeferCleanup(p.Close)
+		for _, id := range []string{"r1", "r2"} {
+			response, err := p.Exchange(ctx, request(id))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Status).To(Equal(503))
+			Expect(read(response)).To(BeEmpty())
+		}
+		Expect(p.Opened()).To(BeEquivalentTo(1), "refusals with an id leave the connection in use")
+		response, err := p.Exchange(ctx, request("r1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(response)).To(Equal("run"))
+	})
+
+	It("closes a connection after many refusals", func() {
+		address, _ := serve(func(_, _ int, id string) (string, bool) {
+			return "HTTP/1.1 503 No\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n", false
+		})
+		p := ibislink.New(ibislink.Options{Address: address, IDHeader: "Id", Refusals: ibisset.Of(503)})
+		DeferCleanup(p.Close)
+		for i := range 90 {
+			response, err := p.Exchange(ctx, request(fmt.Sprint("r", i)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read(response)).To(BeEmpty())
+		}
+		Expect(p.Opened()).To(BeEquivalentTo(2))
+	})
+
 	DescribeTable("fails on anything but a complete response to the request",
 		func(answer string, atHead bool) {
 			p, _ := pool(func(_, _ int, _ string) (string, bool) { return answer, true })
