Tests: answers cut at every byte

Another operator reported callers with a 200 and an empty or short body, framed as whole, after a backend server had stopped in the middle of its head. Nothing to mend; the tests stay.

--- a/internal/peer/ibisbackend/send_test.go
+++ b/internal/peer/ibisbackend/send_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -175,6 +176,34 @@
 		Entry("not HTTP", "hello\r\n\r\n", false),
 	)
 
+	DescribeTable("takes no answer for whole that is cut at any byte",
+		func(answer string) {
+			for cut := range len(answer) {
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err == nil {
+						_, _ = io.WriteString(conn, answer[:cut])
+						_ = conn.Close()
+					}
+				}))
+				client := ibisbackend.NewClient(strings.TrimPrefix(server.URL, "http://"), 1)
+				result := client.Send(ctx, newRequest(http.MethodGet, nil))
+				if result.Err == nil {
+					body, err := readAll(result)
+					Expect(err).To(HaveOccurred(), "%q gave %q", answer[:cut], body)
+				} else {
+					Expect(result.Outcome).To(Equal(ibisid.OutcomeUnknown), "%q", answer[:cut])
+				}
+				client.Close()
+				server.Close()
+			}
+		},
+		Entry("with a length", okAnswer),
+		Entry("with a length of zero", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+		Entry("in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+		Entry("that says that it did not run", "HTTP/1.1 503 No\r\nX-Ibis-Not-Run: true\r\nContent-Length: 0\r\n\r\n"),
+	)
+
 	It("removes hop-by-hop headers and headers that only a node may set", func() {
 		header := ibisbackend.EndToEndHeaders(newRequest(http.MethodGet, nil).Header)
 		Expect(header).To(Equal(http.Header{"Idempotency-Key": {"one"}}))
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -253,6 +253,33 @@
 		}
 	})
 
+	It("takes no answer of a node for whole that is cut at any byte", func() {
+		for _, head := range []string{
+			"Content-Length: 4\r\n\r\nmats",
+			"Transfer-Encoding: chunked\r\n\r\n4\r\nmats\r\n0\r\n\r\n",
+			"Content-Length: 0\r\n\r\n",
+		} {
+			whole := "HTTP/1.1 200 OK\r\nX-Ibis-Answer: {\"outcome\":\"done\"}\r\n" + head
+			for cut := range len(whole) {
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err == nil {
+						_, _ = io.WriteString(conn, whole[:cut])
+						_ = conn.Close()
+					}
+				}))
+				answer := ibisforward.NewClient(clock).Send(context.Background(), strings.TrimPrefix(server.URL, "http://"), order())
+				if answer.Outcome == ibisid.OutcomeDone {
+					_, err := io.ReadAll(answer.Body)
+					Expect(err).To(HaveOccurred(), whole[:cut])
+				} else {
+					Expect(answer.Outcome).To(Equal(ibisid.OutcomeUnknown), whole[:cut])
+				}
+				server.Close()
+			}
+		}
+	})
+
 	It("announces the end of its connections while it closes them, also with an order that it ran meanwhile", func() {
 		_, address := newClient(func(context.Context, ibismessage.Order) ibismessage.Answer {
 			closing.Store(true)
