Stop the other commands gracefully at SIGHUP

`ibisridge backend`, `standin`, `dev` and `soak` ended by the signal: a stand-in cut what it ran, and a soak left its nodes running. They have no settings to reload, so that SIGHUP is the end of their terminal: it stops them as SIGTERM does. relay and node handle it themselves.

Test: the end of the scenario signals-while-stopping (a stand-in ends with exit code 0); red before.

--- a/internal/program/ibiscli/cli.go
+++ b/internal/program/ibiscli/cli.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"os/signal"
 	"strings"
+	"syscall"
 
 	"github.com/alexflint/go-arg"
 )
@@ -76,9 +78,15 @@
 	if !ok {
 		return report(parser, t, usageError("a command is missing"))
 	}
+	if _, ok := chosen.(reloader); !ok {
+		ctx, _ = signal.NotifyContext(ctx, syscall.SIGHUP)
+	}
 	return report(parser, t, chosen.run(ctx, t))
 }
 
+// reloader is a command to which SIGHUP is no request to stop; it handles the signal itself.
+type reloader interface{ handlesHangup() }
+
 // writeHelp writes the help of the chosen command, with its examples.
 func writeHelp(parser *arg.Parser, out io.Writer) {
 	names := parser.SubcommandNames()
--- a/internal/program/ibiscli/node.go
+++ b/internal/program/ibiscli/node.go
@@ -26,6 +26,8 @@
 	return "Runs the node beside a backend server. A flag goes before the environment, and both before the settings file."
 }
 
+func (*nodeCommand) handlesHangup() {}
+
 func (*nodeCommand) examples() string {
 	return `  ibisridge node --settings node.json
   ibisridge node --settings node.json --check
--- a/internal/program/ibiscli/relay.go
+++ b/internal/program/ibiscli/relay.go
@@ -16,6 +16,8 @@
 	return "Runs the node beside a backend server of the users' platform. SIGTERM stops it as planned, SIGHUP reads the settings anew."
 }
 
+func (*relayCommand) handlesHangup() {}
+
 func (*relayCommand) examples() string {
 	return `  ibisridge relay --settings settings.json
   ibisridge relay --settings settings.json --check`
--- a/internal/scenario/ibisscenario/backend.go
+++ b/internal/scenario/ibisscenario/backend.go
@@ -12,7 +12,7 @@
 )
 
 const backendUsage = "backend start NAME service=SERVICE node=NODE [slots=N] [queue=N] [time=SPAN] [cold=SPAN] [checks=yes] [hide=yes]" +
-	" | backend freeze|thaw|kill|stop|cold NAME | backend straggle NAME SPAN FACTOR | backend truncate|drop|fail NAME N"
+	" | backend freeze|thaw|kill|stop|terminate|hangup|cold NAME | backend straggle NAME SPAN FACTOR | backend truncate|drop|fail NAME N"
 
 // counts is what a backend server tells of what it ran.
 type counts struct {
