Neighbors: take no list with a row that no node can have read

A neighbor's answer with a null row, a row without a name or with a version of a later era was applied: a member under such a version counts as newer than every row that it writes from then on, so that the node stops following it.

Change: such an answer fails as one that can't be decoded does: the node reads from the store, a subscriber turns to another node. Versions within the answer's era can't be checked so: a full read of several partitions has rows newer than its position.

--- a/internal/relay/ibisneighbor/neighbor_test.go
+++ b/internal/relay/ibisneighbor/neighbor_test.go
@@ -165,6 +165,31 @@
 		}),
 	)
 
+	// Guards against a member whose later rows all count as older than an odd one.
+	DescribeTable("read from the store when the neighbor lists, beside a sound row,",
+		func(entry string) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, `{"version":12,"rows":[{"part":"members","name":"b","value":"Yg==","version":12},`+entry+`]}`)
+			}))
+			DeferCleanup(server.Close)
+			n := newNode()
+			n.neighbor = strings.TrimPrefix(server.URL, "http://")
+			changes, err := n.feed(10)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(changes.Version).To(BeEquivalentTo(100))
+			Expect(n.store.feeds.Load()).To(BeEquivalentTo(1))
+		},
+		Entry("null", `null`),
+		Entry("a text", `"odd"`),
+		Entry("a row without a name", `{"part":"members","version":11}`),
+		Entry("a list as a name", `{"part":"members","name":["odd"],"version":11}`),
+		Entry("a version of a later era", `{"part":"members","name":"a","version":9223372036854775808}`),
+		Entry("a version too large", `{"part":"members","name":"a","version":1e30}`),
+		Entry("a version below zero", `{"part":"members","name":"a","version":-1}`),
+		Entry("a value that is no base64", `{"part":"members","name":"a","value":"~","version":11}`),
+		Entry("nested lists", strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)),
+	)
+
 	It("read from the store when the neighbor is unreachable", func() {
 		second := newNode()
 		second.neighbor = "127.0.0.1:1"
--- a/internal/relay/ibisneighbor/server.go
+++ b/internal/relay/ibisneighbor/server.go
@@ -3,6 +3,7 @@
 import (
 	"compress/gzip"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -53,6 +54,19 @@
 	}
 }
 
+// decodeRows returns the rows of an answer as of the version. It fails if one has no name or is of a later era: the answer is then
+// not one that a node has read from the store.
+func decodeRows(rows []wireRow, table string, version uint64) ([]ibisstore.Row, error) {
+	out := make([]ibisstore.Row, 0, len(rows))
+	for i, row := range rows {
+		if row.Name == "" || ibisstore.EraOf(row.Version) > ibisstore.EraOf(version) {
+			return nil, fmt.Errorf("row %d, %q, has version %d in an answer of version %d: must have a name and be of its era at the latest", i, row.Name, row.Version, version)
+		}
+		out = append(out, row.storeRow(table))
+	}
+	return out, nil
+}
+
 func wireRowOf(row ibisstore.Row) wireRow {
 	out := newWireRow(row.Key, row.Value, row.Version)
 	out.Removed = row.Removed
--- a/internal/relay/ibisneighbor/store.go
+++ b/internal/relay/ibisneighbor/store.go
@@ -131,12 +131,13 @@
 	if err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&changes); err != nil {
 		return ibisstore.Snapshot{}, fmt.Errorf("decode changes from the neighbor: %w", err)
 	}
-	out := ibisstore.Snapshot{
+	rows, err := decodeRows(changes.Rows, s.table, changes.Version)
+	if err != nil {
+		return ibisstore.Snapshot{}, fmt.Errorf("decode changes from the neighbor: %w", err)
+	}
+	return ibisstore.Snapshot{
+		Rows:    rows,
 		Version: changes.Version,
 		Batched: true,
-	}
-	for _, row := range changes.Rows {
-		out.Rows = append(out.Rows, row.storeRow(s.table))
-	}
-	return out, nil
+	}, nil
 }
--- a/internal/relay/ibisneighbor/subscriber.go
+++ b/internal/relay/ibisneighbor/subscriber.go
@@ -217,9 +217,5 @@
 	if err := json.NewDecoder(io.LimitReader(text, maxAnswerBytes)).Decode(&wire); err != nil {
 		return nil, fmt.Errorf("decode the rows of a message: %w", err)
 	}
-	rows := make([]ibisstore.Row, 0, len(wire))
-	for _, row := range wire {
-		rows = append(rows, row.storeRow(s.table))
-	}
-	return rows, nil
+	return decodeRows(wire, s.table, message.Version)
 }
