Other runtime: take no member from a row under another key

A row under any key that names a member with a later incarnation took the place of that member's own row, and the member counted as dead: its slots were taken over although it lived, and its own next rows as older.

Change: the row must stand under its member's key; it is ignored with an error else.

Test, red before: "A member's row under another key than its own changes nothing".

--- a/internal/node/ibisowner/manager_test.go
+++ b/internal/node/ibisowner/manager_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/ownership/ibislease"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisplatform"
 )
 
 func TestManager(t *testing.T) {
@@ -44,3 +45,26 @@
 		}
 	})
 })
+
+// Guards against a row under another key that takes the place of a member's own and makes the member count as dead.
+var _ = It("A member's row under another key than its own changes nothing", func() {
+	c := newSettledCluster(5, 3, 3, true)
+	owners := make([]int, len(c.nodes))
+	for i, n := range c.nodes {
+		owners[i] = n.Stats().OwnedSlots
+	}
+	for i, n := range c.nodes {
+		other := c.nodes[(i+1)%len(c.nodes)].Self().Member
+		other.Incarnation += 1000
+		n.rows.Publish(ibisplatform.Row{
+			Key:     ibislease.RowKey("odd"),
+			Value:   ibislease.Row{Member: other, State: ibislease.StateLeft}.Encode(),
+			Version: 1 << 40,
+		})
+	}
+	c.run(10 * time.Second)
+	for i, n := range c.nodes {
+		Expect(n.Stats().Valid).To(BeTrue())
+		Expect(n.Stats().OwnedSlots).To(Equal(owners[i]))
+	}
+})
--- a/internal/node/ibisowner/member.go
+++ b/internal/node/ibisowner/member.go
@@ -1,6 +1,7 @@
 package ibisowner
 
 import (
+	"fmt"
 	"reflect"
 	"slices"
 	"time"
@@ -46,6 +47,9 @@
 // applyMemberRow applies a member row. A greater incarnation proves that the earlier one is dead.
 func (m *Manager) applyMemberRow(row ibisplatform.Row, now time.Time) {
 	content, err := ibislease.DecodeRow(row.Value)
+	if err == nil && row.Key != ibislease.RowKey(content.Member.Name) {
+		err = fmt.Errorf("the row is of the member %q", content.Member.Name)
+	}
 	if err != nil {
 		m.log.Error("ignoring a member row that cannot be decoded", zap.String("row", row.Key), zap.Error(err))
 		return
