Stand-in: free the key of an aborted request

A keyed request whose caller leaves ends the stand-in's work by a panic, past the line that frees its key: a later release of the span was never answered, and the span counted as held for a minute.

Test, red before (release unanswered for 20 s): TestReleaseAfterAbortedRequest.

--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -179,6 +179,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if key >= 0 {
+		// The work of an aborted request panics.
+		defer s.letGo(key)
+	}
 	s.ledger.begin(s, id, r.Method == http.MethodPost, key)
 	if strings.HasPrefix(r.URL.Path, CrashPath) {
 		s.ledger.ended(s, r.URL.Path, r.Header.Get(HeaderCounted) != "")
@@ -187,9 +191,6 @@
 	}
 	s.checkDrained(id)
 	s.work(w, r, id, len(body), deadline)
-	if key >= 0 {
-		s.letGo(key)
-	}
 }
 
 // health answers a health check.
