--- a/internal/measure/ibissoak/node.go
+++ b/internal/measure/ibissoak/node.go
@@ -148,8 +148,8 @@
 	signal syscall.Signal
 }
 
-// restart ends the process by a signal, sends it the further ones in their order while it stops, kills it after the grace, and
-// starts it again. It fails if a process that stops as planned is ended by one of them.
+// restart ends the process by a signal, sends it the further ones while it stops, kills it after the grace, and starts it again. A
+// planned stop that a further signal ends, or that fails, is reported.
 func (n *node) restart(s syscall.Signal, pause time.Duration, further []timedSignal) error {
 	n.mu.Lock()
 	n.stopping = true
--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -99,9 +99,8 @@
 		return Result{}, err
 	}
 	s := &soak{
-		config: config,
-		random: rand.New(rand.NewPCG(config.Seed, 3)),
-
+		config:       config,
+		random:       rand.New(rand.NewPCG(config.Seed, 3)),
 		signalRandom: rand.New(rand.NewPCG(config.Seed, 4)),
 		ledger:       ibisapp.NewLedger(),
 		store:        ibisrowstore.New(),
