TestSignals: wait until an order is served

The test now waits for a first served order; what it checks is unchanged, and an order that ends before it runs fails the test at once instead of after 30 s.

--- a/cmd/ibisrelay/signal_test.go
+++ b/cmd/ibisrelay/signal_test.go
@@ -190,14 +190,30 @@
 	return outcome
 }
 
-// awaitRunning waits until the backend server has begun n orders.
-func (p *process) awaitRunning(n int) {
+// awaitServed waits until an order is served: a node may be ready before it has heard its backend server.
+func (p *process) awaitServed() {
+	var last error
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		if last = <-p.book(); last == nil {
+			return
+		}
+	}
+	p.Fatalf("no order was served within %s: %v", waitTimeout, last)
+}
+
+// awaitRunning waits until the backend server has begun n orders, of which the last one has the outcome.
+func (p *process) awaitRunning(n int, outcome <-chan error) {
 	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
 		if p.ledger.Total() >= n {
 			return
 		}
+		select {
+		case err := <-outcome:
+			p.Fatalf("order %d ended before it ran: %v", n, err)
+		default:
+		}
 	}
-	p.Fatalf("the backend server did not begin %d orders", n)
+	p.Fatalf("the backend server did not begin %d orders within %s", n, waitTimeout)
 }
 
 func (p *process) signal(signals ...syscall.Signal) {
@@ -276,9 +292,11 @@
 			p.signal(test.settings...)
 			p.finishSettings(settings)
 			p.awaitReadiness(http.StatusOK)
+			p.awaitServed()
+			begun := p.ledger.Total()
 
 			serving := p.book()
-			p.awaitRunning(1)
+			p.awaitRunning(begun+1, serving)
 			if test.closeLogWhileWork {
 				_ = p.logReader.Close()
 			}
@@ -288,7 +306,7 @@
 			}
 
 			stopping := p.book()
-			p.awaitRunning(2)
+			p.awaitRunning(begun+2, stopping)
 			if test.closeLogWhileStops {
 				_ = p.logReader.Close()
 			}
