--- a/cmd/ibisrelay/main.go
+++ b/cmd/ibisrelay/main.go
@@ -21,12 +21,12 @@
 )
 
 func main() {
-	reloads := ibisrun.Reloads()
+	hangups := ibisrun.Hangups()
 	// Signals stay handled until the process has exited, so that a second SIGTERM does not end a graceful stop.
 	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	var arguments ibisrun.Arguments
 	arg.MustParse(&arguments)
-	err := ibisrun.Relay(ctx, reloads, arguments, os.Stdout)
+	err := ibisrun.Relay(ctx, hangups, arguments, os.Stdout)
 	switch {
 	case err == nil:
 		return
--- a/internal/base/ibisjson/prune.go
+++ b/internal/base/ibisjson/prune.go
@@ -7,7 +7,8 @@
 // not be valid JSON.
 func Prune(text []byte, depth int) []byte {
 	var out bytes.Buffer
-	level, kept := 0, 0
+	// The text from copyFrom on is still to be copied; within a value that is replaced there is none.
+	level, copyFrom := 0, 0
 	inString, escaped := false, false
 	for i, c := range text {
 		switch {
@@ -21,13 +22,13 @@
 		case c == '[' || c == '{':
 			level++
 			if level == depth+1 {
-				out.Write(text[kept:i])
+				out.Write(text[copyFrom:i])
 				out.WriteString("null")
-				kept = len(text)
+				copyFrom = len(text)
 			}
 		case c == ']' || c == '}':
 			if level == depth+1 {
-				kept = i + 1
+				copyFrom = i + 1
 			}
 			level--
 		}
@@ -35,6 +36,6 @@
 	if out.Len() == 0 {
 		return text
 	}
-	out.Write(text[kept:])
+	out.Write(text[copyFrom:])
 	return out.Bytes()
 }
--- a/internal/program/ibiscli/cli.go
+++ b/internal/program/ibiscli/cli.go
@@ -78,14 +78,14 @@
 	if !ok {
 		return report(parser, t, usageError("a command is missing"))
 	}
-	if _, ok := chosen.(reloader); !ok {
+	if _, ok := chosen.(hangupHandler); !ok {
 		ctx, _ = signal.NotifyContext(ctx, syscall.SIGHUP)
 	}
 	return report(parser, t, chosen.run(ctx, t))
 }
 
-// reloader is a command to which SIGHUP is no request to stop; it handles the signal itself.
-type reloader interface{ handlesHangup() }
+// hangupHandler is a command that handles SIGHUP itself; the signal stops the others as SIGTERM does.
+type hangupHandler interface{ handlesHangup() }
 
 // writeHelp writes the help of the chosen command, with its examples.
 func writeHelp(parser *arg.Parser, out io.Writer) {
--- a/internal/program/ibiscli/node.go
+++ b/internal/program/ibiscli/node.go
@@ -51,7 +51,7 @@
 }
 
 func (c *nodeCommand) run(ctx context.Context, t Terminal) error {
-	reloads := ibisrun.Reloads()
+	hangups := ibisrun.Hangups()
 	settings, err := c.load(t)
 	if err != nil {
 		return err
@@ -70,13 +70,13 @@
 	}
 	_, _ = fmt.Fprintf(t.Out, "node %s: callers on %s, operators on %s, backend server announces to http://%s\n",
 		settings.Name, node.CallerAddress(), node.OperatorAddress(), node.BackendAddress())
-	go logReloads(reloads, log)
+	go logHangups(hangups, log)
 	return node.Run(ctx)
 }
 
-// logReloads logs that the settings of a running node do not change, at each SIGHUP.
-func logReloads(reloads <-chan os.Signal, log *zap.Logger) {
-	for range reloads {
+// logHangups logs at each SIGHUP that the settings of a running node do not change.
+func logHangups(hangups <-chan os.Signal, log *zap.Logger) {
+	for range hangups {
 		log.Warn("SIGHUP is ignored; settings are read at the start only")
 	}
 }
--- a/internal/program/ibiscli/relay.go
+++ b/internal/program/ibiscli/relay.go
@@ -24,10 +24,10 @@
 }
 
 func (c *relayCommand) run(ctx context.Context, t Terminal) error {
-	reloads := ibisrun.Reloads()
+	hangups := ibisrun.Hangups()
 	arguments := c.Arguments
 	arguments.Settings = t.path(arguments.Settings)
-	err := ibisrun.Relay(ctx, reloads, arguments, t.Out)
+	err := ibisrun.Relay(ctx, hangups, arguments, t.Out)
 	if errors.Is(err, ibisrun.ErrSettings) {
 		return usageError("%w", err)
 	}
--- a/internal/relay/ibislink/conn.go
+++ b/internal/relay/ibislink/conn.go
@@ -36,6 +36,21 @@
 // from one of another request with the id.
 func (c *conn) hasRefused(id string) bool { return slices.Contains(c.refusedIDs, id) }
 
+// take records that a response which carries the id got has arrived, and reports whether it answers the request with the id: a
+// refusal may also carry no id, but only as the first response.
+func (c *conn) take(got, id string, refusal bool) bool {
+	first := !c.used
+	c.used = true
+	if !refusal {
+		return got == id
+	}
+	if got != "" && got == id {
+		c.refusedIDs = append(c.refusedIDs, id)
+		return true
+	}
+	return got == "" && first
+}
+
 func newConn(tcp *net.TCPConn) *conn {
 	source := &io.LimitedReader{
 		R: tcp,
--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -164,7 +164,7 @@
 		if x.pool.options.IDHeader != "" {
 			got = response.Header.Get(x.pool.options.IDHeader)
 		}
-		if x.believes(response, got, id) {
+		if x.conn.take(got, id, x.pool.options.Refusals.Has(response.StatusCode)) {
 			return response, nil
 		}
 		x.sawMismatch = true
@@ -180,20 +180,6 @@
 	return nil, fmt.Errorf("%w: more than %d responses from %s to earlier requests", ErrMismatchedResponse, maxMismatched, x.pool.options.Address)
 }
 
-// believes reports whether the response, which carries the id got, is taken for the one to the request with the id.
-func (x *exchange) believes(response *http.Response, got, id string) bool {
-	first := !x.conn.used
-	x.conn.used = true
-	if !x.pool.options.Refusals.Has(response.StatusCode) {
-		return got == id
-	}
-	if got != "" && got == id {
-		x.conn.refusedIDs = append(x.conn.refusedIDs, id)
-		return true
-	}
-	return got == "" && first
-}
-
 // end returns the connection to the pool or closes it.
 func (x *exchange) end(reusable bool) {
 	x.endOnce.Do(func() {
--- a/internal/relay/ibisneighbor/server.go
+++ b/internal/relay/ibisneighbor/server.go
@@ -60,7 +60,7 @@
 	out := make([]ibisstore.Row, 0, len(rows))
 	for i, row := range rows {
 		if row.Name == "" || ibisstore.EraOf(row.Version) > ibisstore.EraOf(version) {
-			return nil, fmt.Errorf("row %d, %q, has version %d in an answer of version %d: must have a name and be of its era at the latest", i, row.Name, row.Version, version)
+			return nil, fmt.Errorf("row %d, %q, has version %d in an answer of version %d: must have a name and no later era", i, row.Name, row.Version, version)
 		}
 		out = append(out, row.storeRow(table))
 	}
--- a/internal/relay/ibisrange/era.go
+++ b/internal/relay/ibisrange/era.go
@@ -13,8 +13,8 @@
 // tokenEraShift is the number of low bits of a token that count within an era.
 const tokenEraShift = 32
 
-// maxToken is the greatest token of a page: tokens stay exact as JSON numbers.
-const maxToken = 1<<53 - 1
+// MaxToken is the greatest token: tokens stay exact as JSON numbers.
+const MaxToken = 1<<53 - 1
 
 // firstToken returns the lowest token that is given out in an era: it is above every token of earlier eras, including those
 // that the store has lost.
--- a/internal/relay/ibisrange/lease.go
+++ b/internal/relay/ibisrange/lease.go
@@ -73,8 +73,8 @@
 	return value
 }
 
-// decodeLease decodes the content of a lease's row. Content that can't be decoded yields no writer and no end, as does an end that is out of range no end; the lease
-// counts as valid all the same until it has been unchanged for a term.
+// decodeLease decodes the content of a lease's row. Content that can't be decoded yields no writer and no end, and an end that is out
+// of range counts as none; the lease counts as valid all the same until it has been unchanged for a term.
 func decodeLease(value []byte) leaseRow {
 	var r leaseRow
 	if json.Unmarshal(value, &r) != nil {
--- a/internal/relay/ibisrange/pagerow.go
+++ b/internal/relay/ibisrange/pagerow.go
@@ -76,8 +76,8 @@
 		if to > Keys {
 			return Page{}, fmt.Errorf("page row: a range ends at key %d, but there are %d keys", to, Keys)
 		}
-		if row.Token[i] > maxToken {
-			return Page{}, fmt.Errorf("page row: the range that ends at key %d has token %d, must be at most %d", to, row.Token[i], uint64(maxToken))
+		if row.Token[i] > MaxToken {
+			return Page{}, fmt.Errorf("page row: the range that ends at key %d has token %d, must be at most %d", to, row.Token[i], uint64(MaxToken))
 		}
 		if to < next {
 			return Page{}, fmt.Errorf("page row: a range ends at key %d but must begin at key %d", to, next)
