TestSignals: fixed ports below the ones that the system gives out

It drew free ports and closed them before the program listened, so that another process could get one in between; who did is not shown. Each case has a loopback address of its own, so that it now takes ports 7101 to 7105 there, as the soak does; these are below the range from which the system draws. 3 of 3 runs under the race detector ok.

--- a/cmd/ibisrelay/signal_test.go
+++ b/cmd/ibisrelay/signal_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -51,17 +50,8 @@
 	sent      atomic.Int64
 }
 
-// freeAddress returns an address on a loopback address of the test's own, which no parallel test can take.
-func freeAddress(t *testing.T, host string) string {
-	listener, err := net.Listen("tcp4", host+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
-// startProcess starts the program; its settings file is a pipe, so that it waits for finishSettings.
+// startProcess starts the program on a loopback address of its own, with ports that the system gives to nobody else; its settings
+// file is a pipe, so that it waits for finishSettings.
 func startProcess(t *testing.T, host string) *process {
 	store := ibisrowstore.New()
 	store.Put("op", "", "config", []byte(`{"version":"00000001","limits":{"maxHeaderBytes":2000,"maxBodyBytes":1000,"headerTimeoutMs":400,`+
@@ -81,12 +71,12 @@
 			Region:         "central",
 			Domain:         "d1",
 			Service:        "desk",
-			BackendAddress: freeAddress(t, host),
+			BackendAddress: host + ":7101",
 			Listen: platform.ListenSettings{
-				Callers:    freeAddress(t, host),
-				Nodes:      freeAddress(t, host),
-				Readiness:  freeAddress(t, host),
-				Heartbeats: freeAddress(t, host),
+				Callers:    host + ":7102",
+				Nodes:      host + ":7103",
+				Readiness:  host + ":7104",
+				Heartbeats: host + ":7105",
 			},
 			HeartbeatMs:  200,
 			StoreAddress: strings.TrimPrefix(storeServer.URL, "http://"),
