Tests: one server of raw bytes

Three test packages wrote the same server of raw answers, two more a hijacked one, and two a search for a free address: internal/standin/ibistcp serves the relay's and the other runtime's tests. startSibling takes any handler for its store, which the test of odd rows had written again.

Tests of ibislink, ibisforward, ibisbackend, the stand-ins under the race detector, and of platform's specs that use them: ok.

--- a/internal/peer/ibisbackend/send_test.go
+++ b/internal/peer/ibisbackend/send_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,6 +17,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
+	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
 
 func TestBackend(t *testing.T) {
@@ -179,14 +179,9 @@
 	DescribeTable("takes no answer for whole that is cut at any byte",
 		func(answer string) {
 			for cut := range len(answer) {
-				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-					conn, _, err := http.NewResponseController(w).Hijack()
-					if err == nil {
-						_, _ = io.WriteString(conn, answer[:cut])
-						_ = conn.Close()
-					}
-				}))
-				client := ibisbackend.NewClient(strings.TrimPrefix(server.URL, "http://"), 1)
+				server, err := ibistcp.Start(func(_, _ int, _ *http.Request) (string, bool) { return answer[:cut], true })
+				Expect(err).NotTo(HaveOccurred())
+				client := ibisbackend.NewClient(server.Address(), 1)
 				result := client.Send(ctx, newRequest(http.MethodGet, nil))
 				if result.Err == nil {
 					body, err := readAll(result)
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -27,6 +27,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
 
 func TestForward(t *testing.T) {
@@ -261,14 +262,9 @@
 		} {
 			whole := "HTTP/1.1 200 OK\r\nX-Ibis-Answer: {\"outcome\":\"done\"}\r\n" + head
 			for cut := range len(whole) {
-				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-					conn, _, err := http.NewResponseController(w).Hijack()
-					if err == nil {
-						_, _ = io.WriteString(conn, whole[:cut])
-						_ = conn.Close()
-					}
-				}))
-				answer := ibisforward.NewClient(clock).Send(context.Background(), strings.TrimPrefix(server.URL, "http://"), order())
+				server, err := ibistcp.Start(func(_, _ int, _ *http.Request) (string, bool) { return whole[:cut], true })
+				Expect(err).NotTo(HaveOccurred())
+				answer := ibisforward.NewClient(clock).Send(context.Background(), server.Address(), order())
 				if answer.Outcome == ibisid.OutcomeDone {
 					_, err := io.ReadAll(answer.Body)
 					Expect(err).To(HaveOccurred(), whole[:cut])
--- a/internal/relay/ibislink/pool_test.go
+++ b/internal/relay/ibislink/pool_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
+	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
 
 func TestLink(t *testing.T) {
@@ -30,36 +31,15 @@
 
 // serve starts a server that follows a script. It returns its address and a channel of the ids of the requests it has read.
 func serve(s script) (string, chan string) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() { _ = listener.Close() })
 	requestIDs := make(chan string, 100)
-	go func() {
-		for c := 0; ; c++ {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for n := 0; ; n++ {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					requestIDs <- request.Header.Get("Id")
-					answer, closing := s(c, n, request.Header.Get("Id"))
-					_, _ = io.WriteString(conn, answer)
-					if closing {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String(), requestIDs
+	server, err := ibistcp.Start(func(connection, number int, r *http.Request) (string, bool) {
+		id := r.Header.Get("Id")
+		requestIDs <- id
+		return s(connection, number, id)
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
+	return server.Address(), requestIDs
 }
 
 func completeResponse(id, body string) string {
--- a/internal/standin/ibisapp/server_test.go
+++ b/internal/standin/ibisapp/server_test.go
@@ -2,22 +2,21 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/standin/ibisapp"
+	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
 
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := ibistcp.FreeAddress("127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 // TestReleaseAfterAbortedRequest guards against a key that counts as worked on for ever once its request was aborted: a release of
