Planned stop: take only what is answered before the end

Cause: two limits for one thing. A stopping node took a request whose caller's time ended before the process did (grace - 0.7 s), and aborted running ones 0.25 s earlier. What ended between the two was passed on with less time than it asked for and got 504 while a backend server worked on it. The route's timeout did not count, retries of requests taken earlier neither, orders of other nodes had more time at the node's backend server than the node, and the phases had fixed lengths whatever the grace period.

Change: ibisshutdown holds the times of a stop and decides what is taken; the dispatcher knows the route's timeout and asks it for retries, too; the guard bounds the time of the backend server. Shorter grace periods shorten all phases. The test of the ingress that looked at AnswerBy is replaced by one of the dispatcher, which sees the deadline that is passed on.

--- a/cmd/ibisrelay/signal_test.go
+++ b/cmd/ibisrelay/signal_test.go
@@ -53,6 +53,11 @@
 // startProcess starts the program on a loopback address of its own, with ports that the system gives to nobody else; its settings
 // file is a pipe, so that it waits for finishSettings.
 func startProcess(t *testing.T, host string) *process {
+	return startProcessWith(t, host, startStore(t), ibisapp.NewLedger(), workTime)
+}
+
+// startStore starts a store with a configuration and returns its address.
+func startStore(t *testing.T) string {
 	store := ibisrowstore.New()
 	store.Put("op", "", "config", []byte(`{"version":"00000001","limits":{"maxHeaderBytes":2000,"maxBodyBytes":1000,"headerTimeoutMs":400,`+
 		`"idleTimeoutMs":60000},"listeners":[{"host":"bed.example","ruleSet":[{"name":"book","kind":"non_idempotent","targetLatencyMs":4000,`+
@@ -60,13 +65,18 @@
 		`"clusters":[{"name":"desk","healthPath":"/health","maxConnections":64,"coldStartS":1,"coldPerS":1000}]}`))
 	storeServer := httptest.NewServer(ibisrowstore.NewServer(store, 1))
 	t.Cleanup(storeServer.Close)
+	return strings.TrimPrefix(storeServer.URL, "http://")
+}
+
+// startProcessWith starts the program beside a store that others share, and a backend server that writes to the ledger.
+func startProcessWith(t *testing.T, host, storeAddress string, ledger *ibisapp.Ledger, work time.Duration) *process {
 	p := &process{
 		T:      t,
 		file:   filepath.Join(t.TempDir(), "settings.json"),
-		ledger: ibisapp.NewLedger(),
+		ledger: ledger,
 		exited: make(chan error, 1),
 		settings: platform.Settings{
-			Node:           "n1",
+			Node:           "n",
 			Address:        host,
 			Region:         "central",
 			Domain:         "d1",
@@ -79,22 +89,22 @@
 				Heartbeats: host + ":7105",
 			},
 			HeartbeatMs:  200,
-			StoreAddress: strings.TrimPrefix(storeServer.URL, "http://"),
+			StoreAddress: storeAddress,
 		},
 	}
 	if err := syscall.Mkfifo(p.file, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	server, err := ibisapp.Start(ibisapp.Config{
-		ID:        "s1",
+		ID:        "s-" + host,
 		Service:   "desk",
 		Domain:    "d1",
 		Address:   p.settings.BackendAddress,
 		Control:   p.settings.Listen.Heartbeats,
-		Slots:     8,
+		Slots:     64,
 		Queue:     8,
 		Heartbeat: 200 * time.Millisecond,
-		Work:      workTime,
+		Work:      work,
 		Body:      100,
 	}, p.ledger)
 	if err != nil {
--- a/internal/relay/ibisadmission/admit.go
+++ b/internal/relay/ibisadmission/admit.go
@@ -39,6 +39,7 @@
 		return 0, ibisroster.ServerIncarnation{}, nil, refusal
 	}
 	now := g.clock.Now()
+	order.Deadline = g.boundDeadline(order.Deadline)
 	linkWait := g.link.estimateWait(order.Class)
 	if refusal, ok := g.checkLink(order, linkWait, now); !ok {
 		g.stats.Refused++
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// SetAnswersEnd refuses from now on orders whose answers the link would not have carried by the given time, because the node
-// ends then.
+// SetAnswersEnd refuses from now on orders whose answers are not expected by the given time, because the node ends then. The
+// backend server gets no more time for the others.
 func (g *Guard) SetAnswersEnd(end time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -184,7 +184,7 @@
 		return refusal
 	}
 	began := g.clock.Now()
-	left := order.Deadline.Sub(began)
+	left := g.timeLeft(order, began)
 	if left < minTimeLeft {
 		return ibismessage.NotRun(ibismessage.ReasonDeadline, 0, nil)
 	}
--- a/internal/relay/ibisadmission/link.go
+++ b/internal/relay/ibisadmission/link.go
@@ -67,7 +67,7 @@
 // order whose answer would be cut off by the end of the process, together with all answers that share the link with it.
 func (g *Guard) checkLink(order ibismessage.Order, wait time.Duration, now time.Time) (ibismessage.Answer, bool) {
 	typicalLatency := g.gate.MeanSlotTime(order.Class)
-	if wait > 0 && g.missesEnd(wait+typicalLatency, now) {
+	if g.missesEnd(wait+typicalLatency, now) {
 		return ibismessage.NotRun(ibismessage.ReasonStopping, 0, nil), false
 	}
 	if order.Target.IsZero() || wait <= typicalLatency || !now.Add(wait+typicalLatency).After(order.Target) {
@@ -76,6 +76,21 @@
 	return ibismessage.NotRun(ibismessage.Reason(ibisadmit.ReasonLink), wait, nil), false
 }
 
+// boundDeadline returns the earlier of a deadline and the end of the answers of a stopping node; g.mu is held.
+func (g *Guard) boundDeadline(deadline time.Time) time.Time {
+	if !g.answersEnd.IsZero() && g.answersEnd.Before(deadline) {
+		return g.answersEnd
+	}
+	return deadline
+}
+
+// timeLeft returns the time that the backend server gets for an order.
+func (g *Guard) timeLeft(order ibismessage.Order, now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.boundDeadline(order.Deadline).Sub(now)
+}
+
 // missesEnd reports whether an answer that takes the given time would be cut off by the end of the process; g.mu is held.
 func (g *Guard) missesEnd(duration time.Duration, now time.Time) bool {
 	return !g.answersEnd.IsZero() && now.Add(duration).After(g.answersEnd)
--- a/internal/relay/ibisadmission/link_test.go
+++ b/internal/relay/ibisadmission/link_test.go
@@ -26,9 +26,12 @@
 	err    error
 	// working, if set, keeps answers back until it is closed.
 	working chan struct{}
+	// left is the time that the last order came with.
+	left time.Duration
 }
 
-func (b *fixedLengthBackend) Send(context.Context, ibismessage.Order, ibisroster.ServerIncarnation, time.Duration) ibismessage.Answer {
+func (b *fixedLengthBackend) Send(_ context.Context, _ ibismessage.Order, _ ibisroster.ServerIncarnation, left time.Duration) ibismessage.Answer {
+	b.left = left
 	if b.working != nil {
 		<-b.working
 	}
@@ -143,6 +146,28 @@
 		Expect(guard.Stats().Refused).To(BeEquivalentTo(1), "before it waits for a slot")
 	})
 
+	It("gives the backend server of a node that stops no more time than the node has, and no order that takes longer as a rule", func() {
+		start(ibisadmission.Limits{})
+		patient := func() ibismessage.Answer {
+			o := order()
+			o.Deadline = clock.Now().Add(time.Minute)
+			answer := guard.Send(context.Background(), o)
+			if answer.Body != nil {
+				clock.Advance(400 * time.Millisecond)
+				Expect(answer.Body.Close()).To(Succeed())
+			}
+			return answer
+		}
+		Expect(patient().Outcome).To(Equal(ibisid.OutcomeDone))
+		Expect(server.left).To(Equal(time.Minute))
+		guard.SetAnswersEnd(clock.Now().Add(700 * time.Millisecond))
+		Expect(patient().Outcome).To(Equal(ibisid.OutcomeDone))
+		Expect(server.left).To(Equal(700 * time.Millisecond))
+		refused := patient()
+		Expect(refused.Outcome).To(Equal(ibisid.OutcomeNotRun))
+		Expect(refused.Reason).To(Equal(ibismessage.ReasonStopping))
+	})
+
 	It("refuses an order that waits for a slot when the node begins to stop, if the answers before it fill the link until then", func() {
 		start(ibisadmission.Limits{AnswerBytes: 100 * length, LinkRate: 2 * length})
 		first := guard.Send(context.Background(), order())
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisretrypolicy"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisshutdown"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 	"github.com/ibisridge/ibisridge/internal/request/ibisbalancer"
 	"github.com/ibisridge/ibisridge/internal/request/ibisquarantine"
@@ -87,6 +88,7 @@
 	notices    map[ibisid.NodeName]ibismessage.ServerNotice
 	quarantine *ibisquarantine.Ledger
 	verifier   ConfigVerifier
+	shutdown   ibisshutdown.Schedule
 }
 
 // pageView is an ownership page with the version of its row.
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -25,6 +25,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisrange"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisshutdown"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
 
@@ -322,11 +323,45 @@
 
 	// Guards against answers that the end of a stopping node cut off although another node still worked on them.
 	It("gives an order no more time than the stopping node has for its answer", func() {
-		answerBy := clock.Now().Add(time.Second)
-		dispatcher.Serve(context.Background(), ibisdispatch.Request{
-			ID: "r", Method: http.MethodGet, URI: "/look/1", Path: "/look/1", Host: "mats.example", CallerTimeout: 2 * time.Second, Arrived: clock.Now(), AnswerBy: answerBy,
-		})
-		Expect(p.orders[0].Deadline).To(Equal(answerBy))
+		allowed := 2 * time.Second
+		ask := func() ibismessage.Answer {
+			return dispatcher.Serve(context.Background(), ibisdispatch.Request{
+				ID: "r", Method: http.MethodGet, URI: "/look/1", Path: "/look/1", Host: "mats.example", CallerTimeout: allowed, Arrived: clock.Now(),
+			})
+		}
+		ask()
+		Expect(p.orders[0].Deadline).To(Equal(clock.Now().Add(allowed)), "it does not stop")
+		schedule := ibisshutdown.New(clock.Now(), 4*time.Second)
+		dispatcher.BeginShutdown(schedule)
+		clock.Advance(1700 * time.Millisecond)
+		ask()
+		Expect(p.orders[1].Deadline).To(Equal(schedule.WorkEnd()))
+	})
+
+	// Guards against requests that a stopping node passed on and cut off at its end, unanswered, while the backend server worked.
+	It("refuses at a node that stops what would not be answered before its end, untouched and with a time to come back", func() {
+		schedule := ibisshutdown.New(clock.Now(), 4*time.Second)
+		dispatcher.BeginShutdown(schedule)
+		clock.Advance(2 * time.Second)
+		for _, callerTimeout := range []time.Duration{schedule.WorkEnd().Sub(clock.Now()) + time.Millisecond, 5 * time.Second, 0} {
+			answer := dispatcher.Serve(context.Background(), ibisdispatch.Request{
+				ID: "r", Method: http.MethodPost, URI: "/order/1", Path: "/order/1", Host: "mats.example", CallerTimeout: callerTimeout, Arrived: clock.Now(),
+			})
+			Expect(answer.Outcome).To(Equal(ibisid.OutcomeNotRun))
+			Expect(answer.Reason).To(Equal(ibismessage.ReasonStopping))
+			Expect(answer.RetryAfter).To(BeNumerically(">=", time.Second))
+		}
+		Expect(p.sent).To(BeEmpty())
+	})
+
+	It("does not send a request again that a stopping node has taken earlier and could not answer before its end", func() {
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer {
+			dispatcher.BeginShutdown(ibisshutdown.New(clock.Now(), time.Second))
+			clock.Advance(700 * time.Millisecond)
+			return ibismessage.NotRun(ibismessage.ReasonOtherServer, 0, nil)
+		}
+		Expect(serve("/order/1").Outcome).To(Equal(ibisid.OutcomeNotRun))
+		Expect(p.sent).To(HaveLen(1))
 	})
 
 	It("sends a request with a key to its owner, then to the owner that the refusal names", func() {
--- a/internal/relay/ibisdispatch/plan.go
+++ b/internal/relay/ibisdispatch/plan.go
@@ -10,6 +10,9 @@
 	"github.com/ibisridge/ibisridge/internal/request/ibisquarantine"
 )
 
+// stoppingRetryAfter is the retry-after time of a stopping node: after it, the instance has restarted or is known to be gone.
+const stoppingRetryAfter = time.Second
+
 // faultyRouteRetryAfter is the retry-after time for a route whose configuration can't be used: the operator must correct it.
 const faultyRouteRetryAfter = time.Second
 
@@ -60,8 +63,11 @@
 	if route.Fault != nil {
 		return plan{}, ibismessage.NotRun(ibismessage.ReasonFaultyRoute, d.jitter(faultyRouteRetryAfter), route.Fault), false
 	}
-	service, _ := d.config.Service(d.splitter.Next(d.config.Version(), route))
 	timeout := r.timeLeft(route.Timeout)
+	if !d.shutdown.Takes(r.Arrived, timeout) {
+		return plan{}, ibismessage.NotRun(ibismessage.ReasonStopping, d.jitter(stoppingRetryAfter), nil), false
+	}
+	service, _ := d.config.Service(d.splitter.Next(d.config.Version(), route))
 	target := route.Target
 	if target <= 0 {
 		target = timeout
@@ -73,7 +79,7 @@
 		config:    d.config,
 		service:   service,
 		target:    r.Arrived.Add(min(target-callerAge, timeout)),
-		deadline:  r.Arrived.Add(timeout),
+		deadline:  d.boundDeadline(r.Arrived.Add(timeout)),
 		arrived:   r.Arrived,
 		callerAge: callerAge,
 	}, ibismessage.Answer{}, true
--- a/internal/relay/ibisdispatch/request.go
+++ b/internal/relay/ibisdispatch/request.go
@@ -37,18 +37,13 @@
 	Key int
 	// Arrived is when the request's headers were read.
 	Arrived time.Time
-	// AnswerBy is when a node that stops has sent its last answers; the zero time while it doesn't stop.
-	AnswerBy time.Time
 }
 
-// timeLeft returns how long after its arrival the request may be answered at the latest, given its route's timeout.
+// timeLeft returns how long after its arrival the caller and its route's timeout allow the request to be answered.
 func (r Request) timeLeft(timeout time.Duration) time.Duration {
 	if r.CallerTimeout > 0 {
 		timeout = min(timeout, r.CallerTimeout)
 	}
-	if !r.AnswerBy.IsZero() {
-		timeout = min(timeout, r.AnswerBy.Sub(r.Arrived))
-	}
 	return timeout
 }
 
--- a/internal/relay/ibisdispatch/retry.go
+++ b/internal/relay/ibisdispatch/retry.go
@@ -38,6 +38,9 @@
 			break
 		}
 		began := d.clock.Now()
+		if order.Deadline, ok = d.attemptDeadline(p, len(tries) > 0, began); !ok {
+			break
+		}
 		last = d.attempt(ctx, p, member, order)
 		tries = append(tries, nodeTry{
 			node:    member.Node,
