--- a/internal/relay/ibisevidence/reporter.go
+++ b/internal/relay/ibisevidence/reporter.go
@@ -35,14 +35,22 @@
 	now   func() time.Time
 
 	mu sync.Mutex
-	// pending holds the rows to write, and with a nil value those to remove.
-	pending map[ibisstore.Key][]byte
+	// pending holds the changes that wait.
+	pending map[ibisstore.Key]change
+	// lastChange is the number of the last change.
+	lastChange uint64
 	// sent holds the rows that a commit may have written although it was not known to be applied.
 	sent ibisset.Set[ibisstore.Key]
 	// written holds the rows that this node has written and nobody is known to have removed.
 	written map[ibisstore.Key][]byte
 }
 
+// change is a row to write, or with a nil value one to remove. A later change of the row has another number, even if it is equal.
+type change struct {
+	value  []byte
+	number uint64
+}
+
 // NewReporter returns a reporter whose rows Run writes; now returns the time of day.
 func NewReporter(store ibisstore.Store, now func() time.Time, log *zap.Logger) *Reporter {
 	return &Reporter{
@@ -50,7 +58,7 @@
 		log:     log,
 		wake:    make(chan struct{}, 1),
 		now:     now,
-		pending: make(map[ibisstore.Key][]byte),
+		pending: make(map[ibisstore.Key]change),
 		sent:    make(ibisset.Set[ibisstore.Key]),
 		written: make(map[ibisstore.Key][]byte),
 	}
@@ -65,8 +73,8 @@
 func (r *Reporter) Withdraw(f ibisquarantine.Fingerprint, server ibisquarantine.Server) {
 	key := keyOf(f, server)
 	r.mu.Lock()
-	value, waits := r.pending[key]
-	if waits && value != nil && !r.sent.Has(key) {
+	waiting, waits := r.pending[key]
+	if waits && waiting.value != nil && !r.sent.Has(key) {
 		delete(r.pending, key)
 		r.mu.Unlock()
 		return
@@ -95,7 +103,7 @@
 	r.mu.Lock()
 	for key, value := range r.written {
 		if _, waits := r.pending[key]; !waits && !expired(value, r.now()) {
-			r.pending[key] = value
+			r.add(key, value)
 		}
 	}
 	clear(r.written)
@@ -107,7 +115,7 @@
 	r.mu.Lock()
 	full := len(r.pending) >= maxRows
 	if !full {
-		r.pending[key] = value
+		r.add(key, value)
 	}
 	r.mu.Unlock()
 	if full {
@@ -117,6 +125,15 @@
 	r.wakeUp()
 }
 
+// add adds a change; r.mu is held.
+func (r *Reporter) add(key ibisstore.Key, value []byte) {
+	r.lastChange++
+	r.pending[key] = change{
+		value:  value,
+		number: r.lastChange,
+	}
+}
+
 func (r *Reporter) wakeUp() {
 	select {
 	case r.wake <- struct{}{}:
@@ -153,13 +170,13 @@
 	}
 	var commit ibisstore.Commit
 	for _, key := range slices.SortedFunc(maps.Keys(batch), compareKeys) {
-		if batch[key] == nil {
+		if batch[key].value == nil {
 			commit.Removes = append(commit.Removes, key)
 			continue
 		}
 		commit.Writes = append(commit.Writes, ibisstore.Write{
 			Key:   key,
-			Value: batch[key],
+			Value: batch[key].value,
 		})
 	}
 	if result := r.store.Commit(ctx, commit); result.Outcome != ibisstore.OutcomeApplied {
@@ -170,34 +187,35 @@
 }
 
 // nextBatch returns rows that wait, maxBatch at most.
-func (r *Reporter) nextBatch() map[ibisstore.Key][]byte {
+func (r *Reporter) nextBatch() map[ibisstore.Key]change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	batch := make(map[ibisstore.Key][]byte)
-	for key, value := range r.pending {
+	batch := make(map[ibisstore.Key]change)
+	for key, next := range r.pending {
 		if len(batch) == maxBatch {
 			break
 		}
-		batch[key] = value
+		batch[key] = next
 		r.sent.Add(key)
 	}
 	return batch
 }
 
-// finish records that a batch is in the store and reports whether more rows wait. A row that has changed since then waits on.
-func (r *Reporter) finish(batch map[ibisstore.Key][]byte) bool {
+// finish records that a batch is in the store and reports whether more rows wait. A row that was changed since then, even to the
+// same, waits on.
+func (r *Reporter) finish(batch map[ibisstore.Key]change) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for key, value := range batch {
+	for key, done := range batch {
 		r.sent.Remove(key)
-		if current, waits := r.pending[key]; waits && string(current) == string(value) {
+		if r.pending[key].number == done.number {
 			delete(r.pending, key)
 		}
 		switch {
-		case value == nil:
+		case done.value == nil:
 			delete(r.written, key)
 		case len(r.written) < maxRows:
-			r.written[key] = value
+			r.written[key] = done.value
 		}
 	}
 	return len(r.pending) > 0
--- a/internal/relay/ibisevidence/reporter_test.go
+++ b/internal/relay/ibisevidence/reporter_test.go
@@ -117,6 +117,27 @@
 	g.Expect(rowsOfNext(2)).To(HaveEach(HaveField("Removed", true)))
 }
 
+// TestReporterRepeatsChanges guards against a removal that is dropped with an equal one whose commit is still on its way.
+func TestReporterRepeatsChanges(t *testing.T) {
+	g := NewWithT(t)
+	const limit = 10 * time.Second
+	store := &commits{made: make(chan ibisstore.Commit), outcomes: make(chan ibisstore.Outcome)}
+	reporter := ibisevidence.NewReporter(store, time.Now, zap.NewNop())
+	culprit := ibisquarantine.FingerprintOf("GET", "mats.example", "/crash", nil, 0)
+	go reporter.Run(t.Context())
+	for range 3 {
+		reporter.Withdraw(culprit, "s1/1")
+		var commit ibisstore.Commit
+		g.Eventually(store.made, limit).Should(Receive(&commit))
+		g.Expect(commit.Removes).To(HaveLen(1))
+		reporter.Withdraw(culprit, "s1/1")
+		store.outcomes <- ibisstore.OutcomeApplied
+		g.Eventually(store.made, limit).Should(Receive(&commit))
+		g.Expect(commit.Removes).To(HaveLen(1))
+		store.outcomes <- ibisstore.OutcomeApplied
+	}
+}
+
 func TestDecodeRow(t *testing.T) {
 	g := NewWithT(t)
 	for _, name := range []string{"", "s1/1", "00112233445566778899aabbccddeeff", "00112233445566778899aabbccddeeff/"} {
--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -91,6 +91,9 @@
 
 func (x *exchange) run(request Request) (*Response, error) {
 	out := request.httpRequest()
+	if got := out.URL.RequestURI(); got != request.URI {
+		return nil, fmt.Errorf("request target %q would be sent as %q", request.URI, got)
+	}
 	// An empty value keeps net/http from adding a User-Agent of its own.
 	if out.Header.Get("User-Agent") == "" {
 		out.Header = out.Header.Clone()
--- a/internal/relay/ibislink/pool_test.go
+++ b/internal/relay/ibislink/pool_test.go
@@ -295,6 +295,34 @@
 		Expect(err).To(MatchError(ibislink.ErrNotSent))
 	})
 
+	// Guards against a path whose beginning was taken for the name of a host.
+	It("sends every request target as it is, or not at all", func() {
+		targets := []string{
+			"/", "/a//b?c=%2f", "//a/b?x=1", "///", "//", "//a", "//a%2Fb/%2f", "//a?", "//a?b?c", "//%41", "//a/../b", "//u@h:80/b", "//a[1]", "/*", "/%", "//%zz", "//a\"b", "//" + strings.Repeat("a", 8<<10),
+		}
+		server, err := ibistcp.Start(func(_, _ int, r *http.Request) (string, bool) { return completeResponse(r.Header.Get("Id"), r.RequestURI), false })
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		p := ibislink.New(ibislink.Options{Address: server.Address(), IDHeader: "Id"})
+		DeferCleanup(p.Close)
+		sent := 0
+		for _, target := range targets {
+			r := request("r1")
+			r.URI = target
+			response, err := p.Exchange(context.Background(), r)
+			if errors.Is(err, ibislink.ErrNotSent) {
+				continue
+			}
+			if strings.Contains(target, "%z") || strings.HasSuffix(target, "%") {
+				continue // The server reads no such target.
+			}
+			Expect(err).NotTo(HaveOccurred(), target)
+			Expect(read(response)).To(Equal(target))
+			sent++
+		}
+		Expect(sent).To(Equal(len(targets) - 3))
+	})
+
 	It("sends a request without headers", func() {
 		address, _ := serve(func(_, _ int, _ string) (string, bool) {
 			return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false
--- a/internal/relay/ibislink/request.go
+++ b/internal/relay/ibislink/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 )
 
@@ -57,14 +58,28 @@
 // ErrLateBody reports that after Request.Deadline no byte of a body arrived for too long, or the body did not end in time.
 var ErrLateBody = errors.New("response body did not end in time")
 
+// target returns the URL whose request line is the URI. An opaque part that begins with two slashes would be sent behind the scheme,
+// as if it named a host.
+func (r Request) target() *url.URL {
+	target := &url.URL{
+		Scheme: "http",
+		Host:   r.Host,
+	}
+	path, query, hasQuery := strings.Cut(r.URI, "?")
+	decoded, err := url.PathUnescape(path)
+	if !strings.HasPrefix(path, "//") || err != nil {
+		target.Opaque = r.URI
+		return target
+	}
+	target.Path, target.RawPath = decoded, path
+	target.RawQuery, target.ForceQuery = query, hasQuery
+	return target
+}
+
 func (r Request) httpRequest() *http.Request {
 	out := &http.Request{
 		Method: r.Method,
-		URL: &url.URL{
-			Scheme: "http",
-			Host:   r.Host,
-			Opaque: r.URI,
-		},
+		URL:           r.target(),
 		Host:          r.Host,
 		Header:        r.Header,
 		ContentLength: r.Length,
