--- a/internal/relay/ibislink/pool_test.go
+++ b/internal/relay/ibislink/pool_test.go
@@ -300,7 +300,9 @@
 		targets := []string{
 			"/", "/a//b?c=%2f", "//a/b?x=1", "///", "//", "//a", "//a%2Fb/%2f", "//a?", "//a?b?c", "//%41", "//a/../b", "//u@h:80/b", "//a[1]", "/*", "/%", "//%zz", "//a\"b", "//" + strings.Repeat("a", 8<<10),
 		}
-		server, err := ibistcp.Start(func(_, _ int, r *http.Request) (string, bool) { return completeResponse(r.Header.Get("Id"), r.RequestURI), false })
+		server, err := ibistcp.Start(func(_, _ int, r *http.Request) (string, bool) {
+			return completeResponse(r.Header.Get("Id"), r.RequestURI), false
+		})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(server.Close)
 		p := ibislink.New(ibislink.Options{Address: server.Address(), IDHeader: "Id"})
--- a/internal/relay/ibislink/request.go
+++ b/internal/relay/ibislink/request.go
@@ -78,7 +78,7 @@
 
 func (r Request) httpRequest() *http.Request {
 	out := &http.Request{
-		Method: r.Method,
+		Method:        r.Method,
 		URL:           r.target(),
 		Host:          r.Host,
 		Header:        r.Header,
