--- a/packages_test.go
+++ b/packages_test.go
@@ -65,12 +65,17 @@
 	return area
 }
 
-// hasTest reports whether a test file of a package under internal contains the title.
+// hasTest reports whether a test file of a package under internal or of a command contains the title.
 func hasTest(t *testing.T, pkg, title string) bool {
 	files, err := filepath.Glob("internal/*/" + pkg + "/*_test.go")
 	if err != nil {
 		t.Fatal(err)
 	}
+	commands, err := filepath.Glob("cmd/" + pkg + "/*_test.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files = append(files, commands...)
 	return slices.ContainsFunc(files, func(file string) bool {
 		text, err := os.ReadFile(file)
 		return err == nil && bytes.Contains(text, []byte(title))
