--- a/internal/relay/ibisrange/heartbeat.go
+++ b/internal/relay/ibisrange/heartbeat.go
@@ -101,7 +101,7 @@
 }
 
 // dropUnreportedGrants drops the parts of grants that the backend server doesn't report as held, once no answer that grants
-// them can still arrive.
+// them can still arrive. Unconfirmed grants stay until they have ended.
 func (s *server) dropUnreportedGrants(now time.Time) {
 	grants := s.grants
 	s.grants = nil
