--- a/internal/relay/ibisadmission/link_test.go
+++ b/internal/relay/ibisadmission/link_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,12 +27,12 @@
 	err    error
 	// working, if set, keeps answers back until it is closed.
 	working chan struct{}
-	// left is the time that the last order came with.
-	left time.Duration
+	// left is the time in nanoseconds that the last order came with.
+	left atomic.Int64
 }
 
 func (b *fixedLengthBackend) Send(_ context.Context, _ ibismessage.Order, _ ibisroster.ServerIncarnation, left time.Duration) ibismessage.Answer {
-	b.left = left
+	b.left.Store(int64(left))
 	if b.working != nil {
 		<-b.working
 	}
@@ -159,10 +160,10 @@
 			return answer
 		}
 		Expect(patient().Outcome).To(Equal(ibisid.OutcomeDone))
-		Expect(server.left).To(Equal(time.Minute))
+		Expect(server.left.Load()).To(BeEquivalentTo(time.Minute))
 		guard.SetAnswersEnd(clock.Now().Add(700 * time.Millisecond))
 		Expect(patient().Outcome).To(Equal(ibisid.OutcomeDone))
-		Expect(server.left).To(Equal(700 * time.Millisecond))
+		Expect(server.left.Load()).To(BeEquivalentTo(700 * time.Millisecond))
 		refused := patient()
 		Expect(refused.Outcome).To(Equal(ibisid.OutcomeNotRun))
 		Expect(refused.Reason).To(Equal(ibismessage.ReasonStopping))
