Gate: send keyed requests again that the server itself rejects

Cause: a backend server that turns away part of its requests without running them (503 with a load that looks normal) ended each call to a key that only it holds: the dispatcher doesn't retry keyed orders, since there is no other server, and the call's refusal failed the run that had made it.

Ruled out: more tries from the entry node (each costs a hop, and the budget there is for all services).

Change: the gate keeps the slot of a rejected request and sends it again after 10 ms, up to three times, within the deadline, the cold rate, the server's own rate limit and a budget of 0.15 of its admissions. Less urgent classes leave the budget to more urgent ones. Orders whose body can't be sent again, or that another server may run, are not affected.

--- a/internal/relay/ibisadmission/admit.go
+++ b/internal/relay/ibisadmission/admit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
@@ -123,8 +124,10 @@
 	g.apply(e, g.clock.Now())
 }
 
-// apply passes an event to the gate and applies the effects; g.mu is held.
-func (g *Guard) apply(event ibisadmit.Event, now time.Time) {
+// apply passes an event to the gate and applies the effects; g.mu is held. It returns the time after which the gate asks to send
+// the request of a RejectedEvent again, if it does.
+func (g *Guard) apply(event ibisadmit.Event, now time.Time) ibisset.Option[time.Duration] {
+	resend := ibisset.None[time.Duration]()
 	for _, effect := range g.gate.Update(event, now) {
 		switch e := effect.(type) {
 		case ibisadmit.AdmitEffect:
@@ -138,9 +141,13 @@
 				reason:     e.Reason,
 				retryAfter: e.RetryAfter,
 			})
+		case ibisadmit.ResendEffect:
+			g.stats.Resent++
+			resend = ibisset.Some(e.After)
 		case ibisadmit.DrainedEffect:
 		}
 	}
+	return resend
 }
 
 func (g *Guard) deliver(id ibisadmit.RequestID, d decision) {
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -84,6 +84,8 @@
 type Stats struct {
 	// Admitted is the number of requests sent to the backend server.
 	Admitted uint64
+	// Resent is the number of times that a request was sent again because the backend server had rejected it.
+	Resent uint64
 	// Refused is the number of requests that were not admitted.
 	Refused uint64
 	// Running is the number of requests that the backend server processes.
@@ -192,7 +194,7 @@
 	if !ok {
 		return ibismessage.NotRun(ibismessage.ReasonStopping, 0, nil)
 	}
-	answer := g.send(ctx, order, incarnation, left, expectedBytes)
+	answer := g.sendUntilTaken(ctx, order, id, incarnation, expectedBytes)
 	g.hear(answer.Notice)
 	end.Latency = g.clock.Now().Sub(began)
 	if answer.Outcome != ibisid.OutcomeDone {
@@ -214,6 +216,44 @@
 	return answer
 }
 
+// sendUntilTaken sends an order, and again if the backend server rejects it and the gate asks for it.
+func (g *Guard) sendUntilTaken(ctx context.Context, order ibismessage.Order, id ibisadmit.RequestID, incarnation ibisroster.ServerIncarnation, expectedBytes float64) ibismessage.Answer {
+	for {
+		answer := g.send(ctx, order, incarnation, g.timeLeft(order, g.clock.Now()), expectedBytes)
+		if !isRejected(answer) || order.Key == ibismessage.NoKey || order.BodyRest != nil {
+			return answer
+		}
+		// The reserved bytes of the link are free again.
+		expectedBytes = 0
+		g.hear(answer.Notice)
+		after, ok := g.mayResend(order, id, incarnation)
+		if !ok || !ibistimer.Sleep(ctx, after) {
+			return answer
+		}
+		if _, owned := g.checkKey(order); !owned || g.timeLeft(order, g.clock.Now()) < minTimeLeft {
+			return answer
+		}
+	}
+}
+
+// isRejected reports whether the backend server turned an order away without running it.
+func isRejected(answer ibismessage.Answer) bool {
+	return answer.Outcome == ibisid.OutcomeNotRun && answer.Arrived && answer.Reason == ibismessage.ReasonServerFull
+}
+
+// mayResend asks the gate whether to send a rejected order again, and after which time.
+func (g *Guard) mayResend(order ibismessage.Order, id ibisadmit.RequestID, incarnation ibisroster.ServerIncarnation) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopping || g.server.Incarnation != incarnation || g.server.State == ibisroster.StateDraining {
+		return 0, false
+	}
+	return g.apply(ibisadmit.RejectedEvent{
+		ID:       id,
+		Deadline: g.boundDeadline(order.Deadline),
+	}, g.clock.Now()).Get()
+}
+
 // send runs an order and accounts for the bytes of its answer on the link, of which expectedBytes are reserved.
 func (g *Guard) send(ctx context.Context, order ibismessage.Order, incarnation ibisroster.ServerIncarnation, left time.Duration, expectedBytes float64) ibismessage.Answer {
 	defer func() {
--- a/internal/relay/ibisadmission/guard_test.go
+++ b/internal/relay/ibisadmission/guard_test.go
@@ -488,3 +488,43 @@
 	}
 	return c.Fake.Now()
 }
+
+var _ = Describe("A Guard whose backend server rejects requests that only it can run", func() {
+	// Without it, each call of another server that this one turns away fails the run that made it.
+	DescribeTable("sends them again within the budget and the deadline",
+		func(change func(o *ibismessage.Order), rejections, arrivals int) {
+			clock := ibistimer.NewFake(time.Unix(1_000_000, 0))
+			server := &backend{clock: clock, answers: make(chan ibismessage.Answer, 10)}
+			keys := &ownership{keyState: ibisrange.KeyStateHeld, changed: make(chan struct{})}
+			guard := ibisadmission.New(server, keys, ibisadmission.Limits{}, clock, zap.NewNop())
+			guard.SetRules(ibisadmission.Rules{Connections: 130, Sharded: true})
+			guard.SetServer(ibisroster.Server{Incarnation: ibisroster.ServerIncarnation{ID: "s1", StartedAt: 1}, Service: "desk", Slots: 2, State: ibisroster.StateServing}, 0)
+			for range 30 {
+				server.answers <- okAnswer()
+				warm := guard.Send(context.Background(), ibismessage.Order{Service: "desk", Key: 7, Deadline: clock.Now().Add(time.Second)})
+				Expect(warm.Body.Close()).To(Succeed())
+			}
+			before := server.count()
+			for range rejections {
+				rejected := ibismessage.NotRun(ibismessage.ReasonServerFull, 0, nil)
+				rejected.Arrived = true
+				server.answers <- rejected
+			}
+			server.answers <- okAnswer()
+			o := ibismessage.Order{Service: "desk", Key: 7, Deadline: clock.Now().Add(time.Second)}
+			change(&o)
+			answer := guard.Send(context.Background(), o)
+			Expect(server.count() - before).To(Equal(arrivals))
+			Expect(answer.Outcome == ibisid.OutcomeDone).To(Equal(arrivals > rejections))
+			if answer.Body != nil {
+				Expect(answer.Body.Close()).To(Succeed())
+			}
+			Expect(guard.Stats().Running).To(BeZero())
+		},
+		Entry("once rejected", func(*ibismessage.Order) {}, 1, 2),
+		Entry("rejected more often than a request is sent again", func(*ibismessage.Order) {}, 4, 4),
+		Entry("no time left", func(o *ibismessage.Order) { o.Deadline = o.Deadline.Add(-994 * time.Millisecond) }, 1, 1),
+		Entry("another server may run it", func(o *ibismessage.Order) { o.Key = ibismessage.NoKey }, 1, 1),
+		Entry("its body can't be sent again", func(o *ibismessage.Order) { o.BodyRest = bytes.NewReader([]byte("b")) }, 1, 1),
+	)
+})
--- a/internal/request/ibisadmit/dispatch.go
+++ b/internal/request/ibisadmit/dispatch.go
@@ -28,6 +28,7 @@
 	q.running++
 	g.coldRate.recordAdmission(now)
 	g.serverRate.recordAdmission(now)
+	g.resends.recordAdmission()
 	g.running[w.id] = runningRequest{
 		queue:      q,
 		admittedAt: now,
--- a/internal/request/ibisadmit/effect.go
+++ b/internal/request/ibisadmit/effect.go
@@ -51,9 +51,18 @@
 	RetryAfter time.Duration
 }
 
+// ResendEffect requests that a rejected request be sent to the backend server once more. Without it the rejection is final.
+type ResendEffect struct {
+	// ID is the request, which keeps its slot.
+	ID RequestID
+	// After is the time to wait before.
+	After time.Duration
+}
+
 // DrainedEffect reports that no request runs or waits after a DrainEvent.
 type DrainedEffect struct{}
 
 func (AdmitEffect) gateEffect()   {}
 func (RefuseEffect) gateEffect()  {}
+func (ResendEffect) gateEffect()  {}
 func (DrainedEffect) gateEffect() {}
--- a/internal/request/ibisadmit/event.go
+++ b/internal/request/ibisadmit/event.go
@@ -40,6 +40,15 @@
 	ConnectionClosed bool
 }
 
+// RejectedEvent reports that the backend server rejected an admitted request that no other server can run, and has not run it. The
+// request still holds its slot.
+type RejectedEvent struct {
+	// ID is the admitted request.
+	ID RequestID
+	// Deadline is the time after which the answer is of no use.
+	Deadline time.Time
+}
+
 // HeadReceivedEvent reports that the head of an admitted request's answer was received. The age of the request then no longer
 // counts as a sign of a slow server.
 type HeadReceivedEvent struct {
@@ -109,6 +118,7 @@
 func (ArriveEvent) gateEvent()       {}
 func (FinishEvent) gateEvent()       {}
 func (HeadReceivedEvent) gateEvent() {}
+func (RejectedEvent) gateEvent()     {}
 func (CancelEvent) gateEvent()       {}
 func (IdleClosedEvent) gateEvent()   {}
 func (ColdEvent) gateEvent()         {}
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -37,6 +37,7 @@
 	domainOut       bool
 	coldRate        coldRateLimit
 	serverRate      serverRate
+	resends         resendBudget
 	effects         []Effect
 }
 
@@ -50,6 +51,8 @@
 	queue        *classQueue
 	admittedAt   time.Time
 	headReceived bool
+	// resends is how often the request was sent again after the server had rejected it.
+	resends int
 }
 
 // New returns a gate without requests. Its limit is at most the lesser of config.Slots and config.Connections, and at least
@@ -134,6 +137,8 @@
 		g.arrive(e, now)
 	case FinishEvent:
 		g.finish(e, now)
+	case RejectedEvent:
+		g.reject(e, now)
 	case HeadReceivedEvent:
 		g.recordHead(e)
 	case CancelEvent:
