ibisdispatch: interface Quota, called after the plan; ibisroute.Account

Cause: accounts and their quotas are built side by side and meet at this interface. Change: Serve takes a token for the request's account after the plan and before it reads the body, and returns it if the request was not run. The plan has no account yet, and a nil Quota limits nothing.

--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -88,6 +88,7 @@
 	notices    map[ibisid.NodeName]ibismessage.ServerNotice
 	quarantine *ibisquarantine.Ledger
 	verifier   ConfigVerifier
+	quota      Quota
 	shutdown   ibisshutdown.Schedule
 }
 
@@ -326,6 +327,19 @@
 	if !ok {
 		return refusal
 	}
+	releaseToken, refusal, ok := d.takeToken(ctx, p.account)
+	if !ok {
+		return refusal
+	}
+	answer := d.run(ctx, request, p)
+	if answer.Outcome == ibisid.OutcomeNotRun {
+		releaseToken()
+	}
+	return answer
+}
+
+// run reads the body of a planned request, sends the request to a backend server and returns its answer.
+func (d *Dispatcher) run(ctx context.Context, request Request, p plan) ibismessage.Answer {
 	limit := p.config.Limits().BodyBytes
 	body, rest, err := readBody(request, limit)
 	if err != nil {
--- /dev/null
+++ b/internal/relay/ibisdispatch/quota.go
@@ -0,0 +1,57 @@
+package ibisdispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisretrypolicy"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
+)
+
+// Quota enforces the rate limits of accounts across all nodes. It is safe for concurrent use.
+type Quota interface {
+	// Take takes a token for one request of an account. If there is one, ok is true, and release returns the token; it is called
+	// only if the request was not run. Otherwise the refusal says why.
+	Take(ctx context.Context, account *ibisroute.Account) (release func(), refusal Refusal, ok bool)
+}
+
+// Refusal is why a quota has no token for a request.
+type Refusal struct {
+	// Limit reports that the account's limit is reached; otherwise the tokens can't be had for now.
+	Limit bool
+	// RetryAfter is the time after which a token is available.
+	RetryAfter time.Duration
+	// Lent is the number of tokens that the node was last lent for the account, for the log.
+	Lent float64
+	// LentAge is the time since then, zero if the node was lent none.
+	LentAge time.Duration
+}
+
+// SetQuota sets what enforces the accounts' rate limits; without it none is enforced.
+func (d *Dispatcher) SetQuota(quota Quota) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.quota = quota
+}
+
+// takeToken takes a token for a request of an account, if it has a rate limit. The returned function returns it.
+func (d *Dispatcher) takeToken(ctx context.Context, account *ibisroute.Account) (func(), ibismessage.Answer, bool) {
+	if account == nil || account.Rate <= 0 {
+		return func() {}, ibismessage.Answer{}, true
+	}
+	d.mu.Lock()
+	quota := d.quota
+	d.mu.Unlock()
+	if quota == nil {
+		return func() {}, ibismessage.Answer{}, true
+	}
+	release, refusal, ok := quota.Take(ctx, account)
+	switch {
+	case ok:
+		return release, ibismessage.Answer{}, true
+	case refusal.Limit:
+		return nil, ibismessage.NotRun(ibismessage.ReasonQuota, refusal.RetryAfter, nil), false
+	}
+	return nil, ibismessage.NotRun(ibismessage.ReasonQuotaUnknown, d.retryAfter(max(refusal.RetryAfter, ibisretrypolicy.DefaultRetryAfter)), nil), false
+}
--- a/internal/relay/ibisdispatch/request.go
+++ b/internal/relay/ibisdispatch/request.go
@@ -49,7 +49,9 @@
 
 // plan holds the routing decision of a request before it is sent: its route, service and times.
 type plan struct {
-	route    *ibisroute.Route
+	route *ibisroute.Route
+	// account is the account of the request, nil if it has none.
+	account  *ibisroute.Account
 	config   *ibisroute.Config
 	service  ibisroute.Service
 	target   time.Time
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -54,6 +54,17 @@
 	ReasonConfigUnverified Reason = "configUnverified"
 	// ReasonFaultyRoute means that the configuration of the matching route can't be used.
 	ReasonFaultyRoute Reason = "faultyRoute"
+	// ReasonUnauthorized means that the request carries no key of an account, and that its route requires one.
+	ReasonUnauthorized Reason = "unauthorized"
+	// ReasonFaultyAccount means that the request's key can't be assigned to one account, since the configuration of accounts has
+	// a fault.
+	ReasonFaultyAccount Reason = "faultyAccount"
+	// ReasonAccountChanged means that the request's key has moved to another account since the request arrived.
+	ReasonAccountChanged Reason = "accountChanged"
+	// ReasonQuota means that the limit of the request's account is reached.
+	ReasonQuota Reason = "quota"
+	// ReasonQuotaUnknown means that the account has a limit, and that the node can't learn whether it is reached.
+	ReasonQuotaUnknown Reason = "quotaUnknown"
 	// ReasonNoConfig means that no configuration is known yet.
 	ReasonNoConfig Reason = "noConfig"
 	// ReasonInternal means that the node failed by a fault of its own while it handled the request.
