--- a/internal/relay/ibisroute/config.go
+++ b/internal/relay/ibisroute/config.go
@@ -77,6 +77,8 @@
 	MaxAttempts int
 	// Homes lists the only regions that may serve the requests; empty for all.
 	Homes []ibisid.RegionName
+	// AuthExempt reports that requests need no key of an account.
+	AuthExempt bool
 	// Services lists the services with their weights, at least one.
 	Services []WeightedService
 	// Fault is why the route's requests can't be served, nil if they can. The route still matches its requests, so that they
@@ -121,6 +123,8 @@
 	hosts    map[string]map[string]*Route
 	routes   []*Route
 	services map[ibisid.ServiceName]Service
+	// accounts is nil if requests need no key.
+	accounts *Accounts
 }
 
 // New returns the configuration. A route that can't be served is kept with its Fault: one whose prefix is invalid matches
@@ -154,6 +158,13 @@
 	return c
 }
 
+// WithAccounts returns a copy of the configuration in which requests need the key of one of the accounts.
+func (c *Config) WithAccounts(accounts *Accounts) *Config {
+	out := *c
+	out.accounts = accounts
+	return &out
+}
+
 // separateClasses makes the names of the routes that can be served unique.
 func (c *Config) separateClasses() {
 	shared := make(map[ibisid.ClassName]int)
