ibisadmit: queues for the priorities of accounts; orders carry the account

Cause: an account's priority takes precedence over its route's, and accounts of one priority share by fair queueing. Change: an order carries its account, between nodes as the field tenant. The gate has queues for each class and priority of accounts; queues of one priority are served by that of their class. Unused ones are removed beyond 64 queues.

--- a/internal/relay/ibisadmission/admit.go
+++ b/internal/relay/ibisadmission/admit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
@@ -52,6 +53,8 @@
 	incarnation := g.server.Incarnation
 	g.apply(ibisadmit.ArriveEvent{
 		ID:       id,
+		Tenant:   order.Tenant,
+		Priority: tenantPriority(order),
 		Class:    order.Class,
 		Target:   subtractWait(order.Target, linkWait),
 		Deadline: subtractWait(order.Deadline, linkWait),
@@ -60,6 +63,14 @@
 	return id, incarnation, answer, ibismessage.Answer{}
 }
 
+// tenantPriority returns the gate's priority of an order that carries that of its account, none if its class decides.
+func tenantPriority(order ibismessage.Order) ibisset.Option[int] {
+	if order.Tenant == "" {
+		return ibisset.None[int]()
+	}
+	return ibisset.Some(ClassPolicy(order.Priority).Priority)
+}
+
 // subtractWait returns a time that is earlier by the wait; a zero time stays zero.
 func subtractWait(t time.Time, wait time.Duration) time.Time {
 	if t.IsZero() {
--- a/internal/relay/ibisadmission/guard_test.go
+++ b/internal/relay/ibisadmission/guard_test.go
@@ -200,6 +200,28 @@
 		Expect(admitted).To(BeNumerically(">=", 12))
 	})
 
+	// Guards against a gate that doesn't learn an order's account: the waiting orders would run in order of arrival.
+	It("admits the order of the account with the more urgent priority first, whatever its class", func() {
+		guard.SetRules(ibisadmission.Rules{Connections: 130, Policy: ibisadmit.Policy{Classes: map[ibisid.ClassName]ibisadmit.ClassPolicy{
+			"look": ibisadmission.ClassPolicy(1),
+		}}})
+		guard.SetServer(state(ibisroster.StateServing), 0)
+		for range 2 {
+			send(context.Background(), order())
+		}
+		Eventually(server.count).Should(Equal(2))
+		ofClass, ofAccount := order(), order()
+		ofAccount.Tenant, ofAccount.Priority = "kandy", 0
+		for i, o := range []ibismessage.Order{ofClass, ofAccount} {
+			send(context.Background(), o)
+			Eventually(func() int { return guard.Stats().Waiting }).Should(Equal(i + 1))
+		}
+		for range 4 {
+			server.answers <- okAnswer()
+		}
+		Expect(server.orders[2].Tenant).To(BeEquivalentTo("kandy"))
+	})
+
 	It("treats the server as cold after its failure domain returns to service", func() {
 		guard.SetRules(rules)
 		guard.SetServer(state(ibisroster.StateServing), 0)
--- a/internal/relay/ibisforward/wire.go
+++ b/internal/relay/ibisforward/wire.go
@@ -25,6 +25,7 @@
 	Origin      ibisid.ServiceName `json:"origin"`
 	Service     ibisid.ServiceName `json:"service"`
 	Class       ibisid.ClassName   `json:"class"`
+	Tenant      ibisid.TenantName  `json:"tenant,omitempty"`
 	Priority    int                `json:"priority,omitempty"`
 	Repeatable  bool               `json:"repeatable,omitempty"`
 	Key         int                `json:"key"`
@@ -97,6 +98,7 @@
 		Origin:      order.Origin,
 		Service:     order.Service,
 		Class:       order.Class,
+		Tenant:      order.Tenant,
 		Priority:    order.Priority,
 		Repeatable:  order.Repeatable,
 		Key:         order.Key,
@@ -135,6 +137,7 @@
 		Origin:      h.Origin,
 		Service:     h.Service,
 		Class:       h.Class,
+		Tenant:      h.Tenant,
 		Priority:    h.Priority,
 		Repeatable:  h.Repeatable,
 		Key:         h.Key,
--- a/internal/relay/ibismessage/order.go
+++ b/internal/relay/ibismessage/order.go
@@ -36,7 +36,9 @@
 	Service ibisid.ServiceName
 	// Class is the request class, the name of its route.
 	Class ibisid.ClassName
-	// Priority is the rank of the class, where zero is the highest.
+	// Tenant is the client account that sent the request, empty if it has none.
+	Tenant ibisid.TenantName
+	// Priority is the rank of the account, or that of the class if there is none, where zero is the highest.
 	Priority int
 	// Repeatable reports whether the request may run more than once.
 	Repeatable bool
--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -17,7 +17,7 @@
 		g.refuse(e.ID, ReasonSlow, slowRetryAfter)
 		return
 	}
-	q := g.queue(e.Class, false)
+	q := g.queue(e.Class, e.Priority, false)
 	tenant := g.config.Policy.Tenants[e.Tenant]
 	wait := g.estimateWait(q, q.ahead(e.Tenant, tenant.weight()), now)
 	if g.wouldMiss(q, e.Deadline, wait, now) {
@@ -25,7 +25,7 @@
 		return
 	}
 	if g.wouldMiss(q, e.Target, wait, now) {
-		q = g.queue(e.Class, true)
+		q = g.queue(e.Class, e.Priority, true)
 		wait = g.estimateWait(q, q.ahead(e.Tenant, tenant.weight()), now)
 		if g.shouldRefuseLate(q, e.Deadline, wait, now) {
 			g.refuse(e.ID, ReasonTarget, max(wait, minRetryAfter))
--- a/internal/request/ibisadmit/dispatch.go
+++ b/internal/request/ibisadmit/dispatch.go
@@ -12,7 +12,7 @@
 			case g.wouldMiss(q, w.deadline, 0, now):
 				g.refuse(w.id, ReasonDeadline, minRetryAfter)
 			case !q.late && g.wouldMiss(q, w.target, 0, now):
-				g.requeueLate(w, g.queue(q.name, true), now)
+				g.requeueLate(w, g.queue(q.name, q.priority, true), now)
 			default:
 				g.admit(q, w, now)
 			}
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/request/ibislatency"
 )
 
@@ -40,10 +41,15 @@
 	effects         []Effect
 }
 
-// queueKey identifies a queue: each class has one for requests that can meet their target and one for late requests.
+// maxTenantQueues bounds the queues of tenants' own priorities; beyond it, those without requests are removed.
+const maxTenantQueues = 64
+
+// queueKey identifies a queue: each class has one for requests that can meet their target and one for late requests, and two more
+// for each priority of tenants.
 type queueKey struct {
-	class ibisid.ClassName
-	late  bool
+	class    ibisid.ClassName
+	priority ibisset.Option[int]
+	late     bool
 }
 
 type runningRequest struct {
@@ -167,24 +173,33 @@
 // of its requests waits or runs.
 func (g *Gate) setPolicy(p Policy) {
 	g.config.Policy = p
-	g.queues = slices.DeleteFunc(g.queues, func(q *classQueue) bool {
+	g.removeUnused(func(q *classQueue) bool {
 		_, listed := p.Classes[q.name]
-		unused := !listed && q.length == 0 && q.running == 0
-		if unused {
-			delete(g.queuesByKey, queueKey{
-				class: q.name,
-				late:  q.late,
-			})
-		}
-		return unused
+		return !listed || q.hasTenantPriority()
 	})
 	for _, q := range g.queues {
-		q.policy = p.Classes[q.name]
+		q.setPolicy(p.Classes[q.name])
 	}
 	g.sortQueues()
 	g.setRates(p)
 }
 
+// removeUnused removes the matching queues without requests. The two queues of a priority of tenants are only removed together:
+// they are removed while the class has requests, and dispatch must find the one for late requests.
+func (g *Gate) removeUnused(match func(q *classQueue) bool) {
+	g.queues = slices.DeleteFunc(g.queues, func(q *classQueue) bool {
+		key := q.key()
+		key.late = !q.late
+		other := g.queuesByKey[key]
+		needed := q.hasTenantPriority() && other != nil && !other.idle()
+		unused := match(q) && q.idle() && !needed
+		if unused {
+			delete(g.queuesByKey, q.key())
+		}
+		return unused
+	})
+}
+
 // setRates keeps the token bucket of a tenant whose rate is unchanged, so that a change of the document refills no bucket.
 func (g *Gate) setRates(p Policy) {
 	old := g.rates
@@ -201,31 +216,38 @@
 	}
 }
 
-// queue returns the queue of a class, for requests that can meet their target or for late ones. Queues are created with the
+// queue returns the queue of a class and a priority of tenants, if there is one, for requests that can meet their target or for late
+// ones. Queues are created with the
 // first request of their class, because a policy may name thousands of classes that a gate never receives.
-func (g *Gate) queue(name ibisid.ClassName, late bool) *classQueue {
+func (g *Gate) queue(name ibisid.ClassName, priority ibisset.Option[int], late bool) *classQueue {
 	key := queueKey{
-		class: name,
-		late:  late,
+		class:    name,
+		priority: priority,
+		late:     late,
 	}
 	if q := g.queuesByKey[key]; q != nil {
 		return q
 	}
+	if _, ok := priority.Get(); ok && len(g.queues) >= maxTenantQueues {
+		g.removeUnused((*classQueue).hasTenantPriority)
+	}
 	// Creating both queues together keeps the list of queues unchanged while dispatch iterates over it. One of them may exist
 	// already.
 	for _, otherLate := range []bool{false, true} {
 		otherKey := queueKey{
-			class: name,
-			late:  otherLate,
+			class:    name,
+			priority: priority,
+			late:     otherLate,
 		}
 		if g.queuesByKey[otherKey] != nil {
 			continue
 		}
 		q := &classQueue{
-			name:   name,
-			late:   otherLate,
-			policy: g.config.Policy.Classes[name],
+			name:     name,
+			late:     otherLate,
+			priority: priority,
 		}
+		q.setPolicy(g.config.Policy.Classes[name])
 		g.queuesByKey[otherKey] = q
 		g.queues = append(g.queues, q)
 	}
@@ -237,6 +259,7 @@
 	slices.SortFunc(g.queues, func(a, b *classQueue) int {
 		return cmp.Or(
 			cmp.Compare(b.policy.Priority, a.policy.Priority),
+			cmp.Compare(b.classPriority, a.classPriority),
 			compareLate(a.late, b.late),
 			cmp.Compare(a.name, b.name),
 		)
--- a/internal/request/ibisadmit/queue.go
+++ b/internal/request/ibisadmit/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 )
 
 // waitingRequest is a request in a queue.
@@ -28,13 +29,41 @@
 // classQueue applies start-time fair queueing to the tenants of one class. It holds either the requests that can still meet
 // their target or the late ones.
 type classQueue struct {
-	name        ibisid.ClassName
-	late        bool
-	policy      ClassPolicy
-	tenants     []*tenantQueue
-	virtualTime float64
-	length      int
-	running     int
+	name ibisid.ClassName
+	late bool
+	// priority is the priority of the tenants whose requests the queue holds, none for those of the class's priority.
+	priority ibisset.Option[int]
+	// policy is that of the class, with the priority of the tenants if they have one, and classPriority is the class's.
+	policy        ClassPolicy
+	classPriority int
+	tenants       []*tenantQueue
+	virtualTime   float64
+	length        int
+	running       int
+}
+
+func (q *classQueue) key() queueKey {
+	return queueKey{
+		class:    q.name,
+		priority: q.priority,
+		late:     q.late,
+	}
+}
+
+// idle reports whether no request of the queue waits or runs.
+func (q *classQueue) idle() bool { return q.length == 0 && q.running == 0 }
+
+// hasTenantPriority reports whether the queue holds requests of a priority of tenants.
+func (q *classQueue) hasTenantPriority() bool {
+	_, ok := q.priority.Get()
+	return ok
+}
+
+// setPolicy applies the policy of the class.
+func (q *classQueue) setPolicy(p ClassPolicy) {
+	q.classPriority = p.Priority
+	p.Priority = q.priority.Or(p.Priority)
+	q.policy = p
 }
 
 // push assigns a start tag to a request and appends it to its tenant's queue.
