ibisdispatch: authenticates requests by their account's key

Cause: under a configuration with accounts, a request needs a key unless its route is exempt. Change: the plan has the account, its priority and the home regions that it has in common with the route. A missing or unknown key is refused with 401 once other nodes have no newer configuration. Before each attempt the key is checked again if another configuration is in force. Headers that name or authenticate an account are kept apart and pass only without accounts. Refusals have a rate-limited log line; the 20 busiest accounts have counters of their own.

--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -48,6 +48,8 @@
 type Meter interface {
 	// RecordRequest counts a request of a caller, with its answer and the time from its arrival to its answer.
 	RecordRequest(class ibisid.ClassName, answer ibismessage.Answer, held time.Duration)
+	// RecordAccount counts a request of a client account with its answer.
+	RecordAccount(account ibisid.TenantName, answer ibismessage.Answer)
 	// RecordCut counts a request of a caller whose connection was closed without a complete answer.
 	RecordCut(cause ibismessage.CutCause)
 }
@@ -71,6 +73,11 @@
 	// ordinary counts requests that were answered within their target at the first try.
 	ordinary atomic.Uint64
 
+	// inForce is config, for reads without the lock.
+	inForce atomic.Pointer[ibisroute.Config]
+	// refusalLog limits the log lines about refused requests of accounts.
+	refusalLog refusalLog
+
 	mu          sync.Mutex
 	config      *ibisroute.Config
 	configSince time.Time
@@ -143,6 +150,7 @@
 	}
 	d.removeChoosers(d.config, config)
 	d.config, d.configSince = config, d.clock.Now()
+	d.inForce.Store(config)
 	classes := make(ibisset.Set[ibisid.ClassName])
 	for _, route := range config.Routes() {
 		classes.Add(route.Name)
@@ -321,17 +329,19 @@
 // Serve sends a request to a backend server and returns its answer, or an answer with the reason why there is none.
 func (d *Dispatcher) Serve(ctx context.Context, request Request) ibismessage.Answer {
 	p, refusal, ok := d.plan(request)
-	if refusal.Reason == ibismessage.ReasonNoRoute {
-		p, refusal, ok = d.planUnmatched(ctx, request)
+	if refusal.Reason == ibismessage.ReasonNoRoute || refusal.Reason == ibismessage.ReasonUnauthorized {
+		p, refusal, ok = d.planVerified(ctx, request)
 	}
 	if !ok {
+		d.recordRefusal(request, p, refusal)
 		return refusal
 	}
-	releaseToken, refusal, ok := d.takeToken(ctx, p.account)
+	releaseToken, quotaRefusal, ok := d.takeToken(ctx, p.account)
 	if !ok {
-		return refusal
+		d.recordQuotaRefusal(request, p, quotaRefusal)
+		return quotaRefusal.answer
 	}
-	answer := d.run(ctx, request, p)
+	answer := d.run(ctx, p)
 	if answer.Outcome == ibisid.OutcomeNotRun {
 		releaseToken()
 	}
@@ -339,7 +349,8 @@
 }
 
 // run reads the body of a planned request, sends the request to a backend server and returns its answer.
-func (d *Dispatcher) run(ctx context.Context, request Request, p plan) ibismessage.Answer {
+func (d *Dispatcher) run(ctx context.Context, p plan) ibismessage.Answer {
+	request := p.request
 	limit := p.config.Limits().BodyBytes
 	body, rest, err := readBody(request, limit)
 	if err != nil {
@@ -349,9 +360,9 @@
 		}
 		return ibismessage.NotRun(reason, 0, err)
 	}
-	order := p.order(request, body, rest)
+	order := p.order(body, rest)
 	answer, tries := d.sendWithLimit(ctx, p, order, limit)
-	d.meter.RecordRequest(p.route.Name, answer, d.clock.Now().Sub(request.Arrived))
+	d.record(request, p, answer)
 	d.logRequest(request, p, order, answer, tries)
 	return answer
 }
--- a/internal/relay/ibisdispatch/plan.go
+++ b/internal/relay/ibisdispatch/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
 	"github.com/ibisridge/ibisridge/internal/request/ibisquarantine"
 )
 
@@ -48,8 +49,8 @@
 	return body, nil, nil
 }
 
-// plan matches the route of a request and selects its service and times; it returns a refusal if there is no configuration or
-// route.
+// plan matches the route and the account of a request and selects its service and times; it returns a refusal if there is no
+// configuration, no route or no account that may use it.
 func (d *Dispatcher) plan(r Request) (plan, ibismessage.Answer, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -63,6 +64,19 @@
 	if route.Fault != nil {
 		return plan{}, ibismessage.NotRun(ibismessage.ReasonFaultyRoute, d.jitter(faultyRouteRetryAfter), route.Fault), false
 	}
+	account, refusal, ok := d.authenticate(d.config, route, r)
+	if !ok {
+		return plan{
+			route: route,
+		}, refusal, false
+	}
+	homes, ok := ibisroute.CommonHomes(account, route)
+	if !ok {
+		return plan{
+			route:   route,
+			account: account,
+		}, d.refuseHomes(account), false
+	}
 	timeout := r.timeLeft(route.Timeout)
 	if !d.shutdown.Takes(r.Arrived, timeout) {
 		return plan{}, ibismessage.NotRun(ibismessage.ReasonStopping, d.jitter(stoppingRetryAfter), nil), false
@@ -76,6 +90,9 @@
 	callerAge := d.callerAges.Estimate(route.Name, r.CallerTimeout)
 	return plan{
 		route:     route,
+		account:   account,
+		homes:     homes,
+		request:   r,
 		config:    d.config,
 		service:   service,
 		target:    r.Arrived.Add(min(target-callerAge, timeout)),
--- a/internal/relay/ibisdispatch/quota.go
+++ b/internal/relay/ibisdispatch/quota.go
@@ -35,23 +35,34 @@
 	d.quota = quota
 }
 
+// quotaRefusal is the answer to a request for which there is no token, with what the quota says about it.
+type quotaRefusal struct {
+	answer ibismessage.Answer
+	cause  Refusal
+}
+
 // takeToken takes a token for a request of an account, if it has a rate limit. The returned function returns it.
-func (d *Dispatcher) takeToken(ctx context.Context, account *ibisroute.Account) (func(), ibismessage.Answer, bool) {
+func (d *Dispatcher) takeToken(ctx context.Context, account *ibisroute.Account) (func(), quotaRefusal, bool) {
+	noRelease := func() {}
 	if account == nil || account.Rate <= 0 {
-		return func() {}, ibismessage.Answer{}, true
+		return noRelease, quotaRefusal{}, true
 	}
 	d.mu.Lock()
 	quota := d.quota
 	d.mu.Unlock()
 	if quota == nil {
-		return func() {}, ibismessage.Answer{}, true
+		return noRelease, quotaRefusal{}, true
 	}
 	release, refusal, ok := quota.Take(ctx, account)
-	switch {
-	case ok:
-		return release, ibismessage.Answer{}, true
-	case refusal.Limit:
-		return nil, ibismessage.NotRun(ibismessage.ReasonQuota, refusal.RetryAfter, nil), false
+	if ok {
+		return release, quotaRefusal{}, true
+	}
+	answer := ibismessage.NotRun(ibismessage.ReasonQuota, refusal.RetryAfter, nil)
+	if !refusal.Limit {
+		answer = ibismessage.NotRun(ibismessage.ReasonQuotaUnknown, d.retryAfter(max(refusal.RetryAfter, ibisretrypolicy.DefaultRetryAfter)), nil)
 	}
-	return nil, ibismessage.NotRun(ibismessage.ReasonQuotaUnknown, d.retryAfter(max(refusal.RetryAfter, ibisretrypolicy.DefaultRetryAfter)), nil), false
+	return nil, quotaRefusal{
+		answer: answer,
+		cause:  refusal,
+	}, false
 }
--- a/internal/relay/ibisdispatch/request.go
+++ b/internal/relay/ibisdispatch/request.go
@@ -23,8 +23,13 @@
 	Path string
 	// Host is the host.
 	Host string
-	// Header holds the end-to-end headers.
+	// Header holds the end-to-end headers without those of AccountHeader.
 	Header http.Header
+	// AccountHeader holds the end-to-end headers that name or authenticate the caller's account. They are passed on only under a
+	// configuration without accounts.
+	AccountHeader http.Header
+	// APIKey is the key of the caller's account, empty if it sent none.
+	APIKey string
 	// Body reads the body; nil if there is none.
 	Body io.Reader
 	// Length is the length of the body in bytes, or -1 if it is unknown.
@@ -51,7 +56,11 @@
 type plan struct {
 	route *ibisroute.Route
 	// account is the account of the request, nil if it has none.
-	account  *ibisroute.Account
+	account *ibisroute.Account
+	// homes lists the only regions that may run the request; empty for all.
+	homes []ibisid.RegionName
+	// request is the caller's request, by which the account is checked again before each attempt.
+	request  Request
 	config   *ibisroute.Config
 	service  ibisroute.Service
 	target   time.Time
@@ -75,25 +84,29 @@
 }
 
 // order returns the order that carries a request to another node.
-func (p plan) order(r Request, body []byte, rest io.Reader) ibismessage.Order {
+func (p plan) order(body []byte, rest io.Reader) ibismessage.Order {
+	r := p.request
 	order := ibismessage.Order{
 		ID:         r.ID,
 		Method:     r.Method,
 		URI:        r.URI,
 		Host:       r.Host,
-		Header:     r.Header,
+		Header:     r.passedHeader(p.config),
 		Body:       body,
 		BodyRest:   rest,
 		Length:     r.Length,
 		Origin:     r.Origin,
 		Service:    p.service.Name,
 		Class:      p.route.Name,
-		Priority:   p.route.Priority,
+		Priority:   ibisroute.EffectivePriority(p.account, p.route),
 		Repeatable: p.route.Kind.Repeatable(),
 		Key:        ibismessage.NoKey,
 		Target:     p.target,
 		Deadline:   p.deadline,
 	}
+	if p.account != nil {
+		order.Tenant = p.account.Name
+	}
 	if p.service.Sharded {
 		order.Key = r.Key
 	}
--- a/internal/relay/ibisdispatch/retry.go
+++ b/internal/relay/ibisdispatch/retry.go
@@ -27,6 +27,12 @@
 			}
 			break
 		}
+		if refusal, ok := d.checkAccount(ctx, &p, &order); !ok {
+			if len(tries) == 0 || retrier.FinalOutcome(ibisid.OutcomeNotRun) == ibisid.OutcomeNotRun {
+				return refusal, tries
+			}
+			break
+		}
 		if len(tries) == 0 && order.Key != ibismessage.NoKey {
 			order.PageVersion = d.pageVersion(p.service.Name)
 		}
@@ -104,7 +110,7 @@
 	}
 	choice := d.chooser(p.service.Name).Choose(ibisbalancer.Request{
 		Class:   order.Class,
-		Homes:   p.route.Homes,
+		Homes:   p.homes,
 		Exclude: tried,
 	}, d.clock.Now())
 	if choice.Refusal != ibisbalancer.RefusalNone {
@@ -137,7 +143,7 @@
 		return member, ibismessage.NotRun(ibismessage.ReasonUnreachable, d.jitter(time.Second), nil), false
 	case d.outDomains.Has(member.Place.Domain), d.isLeaving(member), slices.Contains(tried, node):
 		return member, ibismessage.NotRun(ibismessage.ReasonKeyMoving, d.jitter(ibisretrypolicy.DefaultRetryAfter), nil), false
-	case len(p.route.Homes) > 0 && !slices.Contains(p.route.Homes, member.Place.Region):
+	case len(p.homes) > 0 && !slices.Contains(p.homes, member.Place.Region):
 		return member, ibismessage.NotRun(ibismessage.ReasonNoServer, d.jitter(time.Second), nil), false
 	}
 	return member, ibismessage.Answer{}, true
--- a/internal/relay/ibismeter/meter.go
+++ b/internal/relay/ibismeter/meter.go
@@ -26,8 +26,9 @@
 type Meter struct {
 	set *metrics.Set
 
-	mu      sync.Mutex
-	classes map[ibisid.ClassName]*classMeter
+	mu       sync.Mutex
+	classes  map[ibisid.ClassName]*classMeter
+	accounts accounts
 }
 
 // classMeter caches the metrics of one class, so that the set is searched only once for each.
@@ -45,8 +46,9 @@
 // New returns an empty meter.
 func New() *Meter {
 	return &Meter{
-		set:     metrics.NewSet(),
-		classes: make(map[ibisid.ClassName]*classMeter),
+		set:      metrics.NewSet(),
+		classes:  make(map[ibisid.ClassName]*classMeter),
+		accounts: newAccounts(),
 	}
 }
 
