--- a/internal/standin/ibisapp/ledger.go
+++ b/internal/standin/ibisapp/ledger.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,6 +20,8 @@
 	total  int
 	// ends holds the ends of servers by the path of the request under which they did.
 	ends map[string]*endings
+	// secrets are texts that must not reach backend servers.
+	secrets []string
 }
 
 // endings are the ends of servers under one request.
@@ -91,6 +95,33 @@
 	l.broken = append(l.broken, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
+// AddSecret adds a text, such as a key of an account, that must not reach backend servers.
+func (l *Ledger) AddSecret(secret string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.secrets = append(l.secrets, secret)
+}
+
+// Secrets returns the texts that must not reach backend servers.
+func (l *Ledger) Secrets() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.secrets...)
+}
+
+// checkSecrets reports a request whose headers contain a secret.
+func (l *Ledger) checkSecrets(s *Server, id string, r *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, values := range r.Header {
+		for _, secret := range l.secrets {
+			if strings.Contains(strings.Join(values, "\n"), secret) {
+				l.report("request %s takes a secret to %s, in the header %s", id, s.config.ID, name)
+			}
+		}
+	}
+}
+
 // Runs returns how often a request has run.
 func (l *Ledger) Runs(id string) int {
 	l.mu.Lock()
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -47,6 +47,9 @@
 // HeaderCounted marks a request that counts against the bounds for one that ends servers.
 const HeaderCounted = "Counted"
 
+// HeaderTenantSeen is the account that a backend server was told of, in its answer.
+const HeaderTenantSeen = "Tenant-Seen"
+
 // Server is a running backend server.
 type Server struct {
 	config Config
@@ -148,6 +151,10 @@
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	s.checkNotice(id)
+	if tenant, ok := r.Header["Tenant"]; ok {
+		w.Header().Set(HeaderTenantSeen, strings.Join(tenant, ","))
+	}
+	s.ledger.checkSecrets(s, id, r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
