--- a/internal/request/ibisquota/model_test.go
+++ b/internal/request/ibisquota/model_test.go
@@ -172,17 +172,21 @@
 
 // publishRoster has every node learn of the members, each after a delay of its own.
 func (w *world) publishRoster() {
-	roster := slices.Clone(w.roster)
 	for _, n := range w.nodes {
-		run := n.run
-		w.after(time.Duration(w.random.Int64N(int64(rosterDelay))), func() {
-			if n.quota != nil && n.run == run {
-				w.do(n, func() { w.perform(n, n.quota.SetMembers(roster, n.time(w.now))) })
-			}
-		})
+		w.publishTo(n)
 	}
 }
 
+func (w *world) publishTo(n *node) {
+	run := n.run
+	w.after(time.Duration(w.random.Int64N(int64(rosterDelay))), func() {
+		if n.quota != nil && n.run == run {
+			roster := slices.Clone(w.roster)
+			w.do(n, func() { w.perform(n, n.quota.SetMembers(roster, n.time(w.now))) })
+		}
+	})
+}
+
 // do runs a step of the node, later if it is suspended.
 func (w *world) do(n *node, step func()) {
 	if n.suspended {
@@ -203,6 +207,7 @@
 			step()
 		}
 	}
+	w.publishTo(n)
 }
 
 // crash ends the run of the node at once.
@@ -222,6 +227,7 @@
 		if w.greedy {
 			w.storm(n, 2000)
 		}
+		w.checkShares()
 	}
 	w.after(tickInterval, func() { w.tick(n, run) })
 }
@@ -303,6 +309,23 @@
 	return highest*(1+w.config.Excess) + w.config.Slack
 }
 
+// checkShares checks that no part of a limit is in the buckets of two nodes. Buckets start empty, so that such a fault may take many
+// seconds to exceed the bound.
+func (w *world) checkShares() {
+	for _, l := range w.limits {
+		sum := 0.0
+		for _, n := range w.nodes {
+			if n.quota != nil && !n.suspended {
+				n.quota.advance(n.time(w.now))
+				sum += n.quota.Share(l.Name)
+			}
+		}
+		if sum > 1+epsilon {
+			w.failure = fmt.Sprintf("the buckets of %s have %.3f of its limit at %s", l.Name, sum, w.now)
+		}
+	}
+}
+
 func (w *world) checkWindow(name ibisid.TenantName) {
 	ran := w.ran[name]
 	first, _ := slices.BinarySearch(ran, w.now-w.config.Window+1)
@@ -423,3 +446,17 @@
 		w.cut[[2]int{i, n.index}], w.cut[[2]int{n.index, i}] = true, true
 	}
 }
+
+// demand sends requests of the first account at a rate per second, one after the other to random ones of the nodes.
+func (w *world) demand(duration time.Duration, rate float64, nodes ...int) {
+	end := w.now + duration
+	for interval := time.Duration(float64(time.Second) / rate); w.now < end; w.advance(interval) {
+		w.take(w.nodes[nodes[w.random.IntN(len(nodes))]], w.limits[0].Name)
+	}
+}
+
+// lender returns the lender of the account in the view of the first node.
+func (w *world) lender(name ibisid.TenantName) *node {
+	lender := w.nodes[0].quota.slots[slotOf(name)].lender
+	return w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == lender })]
+}
