--- a/internal/request/ibisquota/delegate.go
+++ b/internal/request/ibisquota/delegate.go
@@ -190,9 +190,9 @@
 			continue
 		}
 		d := request.Delegation
-		ended := s.holderRun < reply.Run || reply.Stopping && s.holderRun == reply.Run
+		ended := s.holderRun < reply.Run || reply.Stopping
 		// The lender ignores delegations that were sent before the one that it has answered.
-		withdrawn := d != nil && d.LenderRun == reply.Run && s.lastSeq < d.Seq && !d.Slots.Has(i)
+		withdrawn := d != nil && s.lastSeq < d.Seq && !d.Slots.Has(i)
 		if ended || withdrawn {
 			s.holder = ""
 		}
--- a/internal/request/ibisquota/model_test.go
+++ b/internal/request/ibisquota/model_test.go
@@ -41,8 +41,10 @@
 	// returned is the probability that a request is not run and its token returned.
 	returned float64
 
-	ran      map[ibisid.TenantName][]time.Duration
-	runs     int
+	ran  map[ibisid.TenantName][]time.Duration
+	runs int
+	// most is the greatest number of requests of an account in a window.
+	most     int
 	refused  map[Verdict]int
 	messages int
 	bytes    int
@@ -330,6 +332,7 @@
 	ran := w.ran[name]
 	first, _ := slices.BinarySearch(ran, w.now-w.config.Window+1)
 	w.ran[name] = ran[first:]
+	w.most = max(w.most, len(ran)-first)
 	if count := len(ran) - first; float64(count) > w.allowed(name) {
 		w.failure = fmt.Sprintf("%d requests of %s ran in the window before %s, at most %.1f are allowed", count, name, w.now, w.allowed(name))
 	}
--- a/internal/request/ibisquota/rules_test.go
+++ b/internal/request/ibisquota/rules_test.go
@@ -192,7 +192,7 @@
 // was suspended.
 func TestANodeThatWasSuspendedWaits(t *testing.T) {
 	q, now := lenderWith(1)
-	now = now.Add(maxStall + time.Millisecond)
+	now = now.Add(2100 * time.Millisecond)
 	if decision, _ := q.Take("x", now); decision.Verdict != VerdictUnavailable {
 		t.Errorf("verdict %s right after it was suspended", decision.Verdict)
 	}
@@ -242,3 +242,30 @@
 		t.Errorf("lent %d tokens, want 55: half of the burst and of half of the slack", count)
 	}
 }
+
+// TestEndedDelegationsFillNothing guards against a bucket that is filled for a delegation after its end, when nothing happened at the
+// lender meanwhile.
+func TestEndedDelegationsFillNothing(t *testing.T) {
+	q, now := lenderWith(2)
+	q.SetAccounts([]Account{{Name: "x", Rate: 100, Burst: 1000}}, now)
+	drain := func() int {
+		return q.Answer(Request{From: "third", Run: 1, Asks: []Ask{{Account: "x", Need: 10_000}}}, now).Grants[0].Count
+	}
+	q.Answer(Request{From: "other", Run: 1, Delegation: &Delegation{Seq: 1, LenderRun: 7, Ticket: now.Add(-3900 * time.Millisecond).UnixNano(), Share: 0.5, Slots: ^Slots(0)}}, now)
+	drain()
+	now = now.Add(1900 * time.Millisecond)
+	if lent, most := drain(), int(0.5*100*1.9); lent > most {
+		t.Errorf("lent %d tokens, the own share has filled %d at most", lent, most)
+	}
+}
+
+// TestRepliesOfAnEarlierRun guards against a late reply of a lender's earlier run, which stopped, that takes the present run out of use.
+func TestRepliesOfAnEarlierRun(t *testing.T) {
+	q, sent, now := borrowerOf(t)
+	late := Request{From: sent.From, Run: sent.Run}
+	q.Replied("lender", sent, Reply{Run: 2, Ticket: 2, Members: 2, Grants: []Grant{{Count: 1}}}, now)
+	q.Replied("lender", late, Reply{Run: 1, Ticket: 1, Members: 2, Stopping: true}, now)
+	if failed := q.FailedLenders(); len(failed) > 0 {
+		t.Errorf("the present run is not used: %v", failed)
+	}
+}
