--- a/internal/measure/ibissoak/caller.go
+++ b/internal/measure/ibissoak/caller.go
@@ -92,7 +92,9 @@
 	node   *node
 	index  int
 	random *rand.Rand
-	client *http.Client
+	// keyRandom draws keys, apart from random so that a seed draws the other requests as before.
+	keyRandom *rand.Rand
+	client    *http.Client
 }
 
 func newCaller(s *soak, n *node, index int) *caller {
@@ -101,6 +103,8 @@
 		node:   n,
 		index:  index,
 		random: rand.New(rand.NewPCG(s.config.Seed, uint64(index)+100)),
+
+		keyRandom: rand.New(rand.NewPCG(s.config.Seed, uint64(index)+10_000)),
 		client: &http.Client{
 			Transport: &http.Transport{
 				DisableCompression: true,
@@ -137,6 +141,8 @@
 	request.Header.Set("Attempt-Id", id)
 	request.Header.Set("Shard-Key", strconv.Itoa(c.random.IntN(1<<16)))
 	request.Header.Set("Time-Remaining-Ms", strconv.FormatInt(callerPatience.Milliseconds(), 10))
+	used := c.soak.accounts.draw(c.keyRandom)
+	used.set(request)
 	began := time.Now()
 	response, err := c.client.Do(request)
 	if err != nil {
@@ -147,8 +153,11 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	c.soak.tally().add(response.StatusCode, err)
+	if used.kind <= keyCurrent || response.StatusCode != http.StatusUnauthorized {
+		c.soak.tally().add(response.StatusCode, err)
+	}
 	if err == nil {
+		c.checkAccount(id, response, used, began)
 		c.check(id, response, body, len(sent))
 	}
 }
@@ -181,7 +190,11 @@
 		if r.Header.Get("Retry-After") == "" {
 			ledger.Report("request %s was refused without a time to come back", id)
 		}
-	case http.StatusNotFound, http.StatusForbidden, http.StatusUnauthorized, http.StatusBadRequest:
+	case http.StatusUnauthorized:
+		if c.soak.accounts == nil {
+			ledger.Report("request %s got %d without accounts", id, r.StatusCode)
+		}
+	case http.StatusNotFound, http.StatusForbidden, http.StatusBadRequest:
 		ledger.Report("request %s got %d though it is proper", id, r.StatusCode)
 	}
 }
--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"syscall"
 	"time"
@@ -142,6 +143,9 @@
 		s.store.Forget()
 	case 11:
 		s.upsetStore(0)
+		s.mu.Lock()
+		s.rewoundAt = time.Now()
+		s.mu.Unlock()
 		age := time.Duration(1 + s.random.Int64N(int64(longestRewind)))
 		s.note(nil, span, "store: it comes back from a copy that is %s old", age)
 		s.store.Rewind(age)
@@ -177,12 +181,14 @@
 func (s *soak) sendCrashing(ctx context.Context, path string) {
 	ctx, cancel := context.WithTimeout(ctx, crashingTime)
 	defer cancel()
+	keyRandom := rand.New(rand.NewPCG(s.config.Seed, 6))
 	for i := 0; ctx.Err() == nil; i++ {
 		n := s.nodes[i%len(s.nodes)]
 		if request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.address(portCallers)+path, nil); err == nil {
 			request.Host = "soak.example"
 			request.Header.Set("Attempt-Id", fmt.Sprintf("crash-%s-%d", path, i))
 			request.Header.Set("Time-Remaining-Ms", "1800")
+			s.accounts.draw(keyRandom).set(request)
 			if s.inTouch(n) {
 				request.Header.Set(ibisapp.HeaderCounted, "1")
 			}
--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -47,6 +47,9 @@
 	ServerFaults bool
 	// PromisesOnly leaves out what depends on the machine's speed: how soon the system is whole again and final answers come.
 	PromisesOnly bool
+	// Accounts gives the configuration accounts whose keys are replaced with each of its changes. Callers send current, revoked and
+	// unknown keys, and all output is searched for keys at the end.
+	Accounts bool
 	// Dir is where settings and logs are written; they are kept.
 	Dir string
 }
@@ -84,8 +87,12 @@
 	upsetAll time.Time
 	// storeUpset is when the last disturbance of the store ends.
 	storeUpset time.Time
-	version    int
-	wg         sync.WaitGroup
+	// rewoundAt is when the store last came back from a copy.
+	rewoundAt time.Time
+	// accounts is nil without accounts.
+	accounts *accounts
+	version  int
+	wg       sync.WaitGroup
 	// injected counts faults that have not ended.
 	injected sync.WaitGroup
 }
@@ -107,6 +114,9 @@
 		counts:       &tally{},
 		upset:        make(map[*node]time.Time),
 	}
+	if config.Accounts {
+		s.accounts = newAccounts(config.Seed, s.ledger)
+	}
 	s.server = ibisrowstore.NewServer(s.store, config.Seed)
 	listener, err := net.Listen("tcp4", storeAddress)
 	if err != nil {
@@ -199,6 +209,9 @@
 	}
 	stop()
 	s.wg.Wait()
+	if err := s.searchSecrets(); err != nil {
+		return Result{}, err
+	}
 	return Result{
 		Broken:    s.ledger.Broken(),
 		Faults:    s.faults,
@@ -237,10 +250,11 @@
 			`"timeoutMs":1800,"maxAttempts":2,"allowedRegions":[]}}`, name, kind, priority, prefix, action)
 	}
 	split := fmt.Sprintf(`"weightedSplit":[{"service":"desk","weight":%d},{"service":"desk","weight":%d}]`, first, second)
-	text := fmt.Sprintf(`{"version":"%08x","limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000},`+
+	tenants := s.accounts.replaceKeys()
+	text := fmt.Sprintf(`{"version":"%08x",%s"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000},`+
 		`"listeners":[{"host":"soak.example","ruleSet":[%s,%s,%s,%s]}],"clusters":[`+
 		`{"name":"desk","healthPath":"/health","maxConnections":64,"coldStartS":1,"coldPerS":1000},`+
-		`{"name":"floor","healthPath":"/health","maxConnections":64,"coldStartS":1,"coldPerS":1000,"sharded":true,"grants":%q}]}`, version,
+		`{"name":"floor","healthPath":"/health","maxConnections":64,"coldStartS":1,"coldPerS":1000,"sharded":true,"grants":%q}]}`, version, tenants,
 		route("look", "idempotent", "/look/", split, 2), route("order", "non_idempotent", "/order/", `"service":"desk"`, 1),
 		route("keyLook", "idempotent", "/key/look/", `"service":"floor"`, 2), route("keyOrder", "non_idempotent", "/key/order/", `"service":"floor"`, 1), s.grants())
 	s.store.Put("op", "", "config", []byte(text))
--- a/internal/program/ibiscli/soak.go
+++ b/internal/program/ibiscli/soak.go
@@ -16,8 +16,10 @@
 	Nodes int           `arg:"--nodes" default:"8" help:"instances, at least 4"`
 	For   time.Duration `arg:"--for" default:"20s" help:"how long faults are injected"`
 	// ServerFaults adds the faults of ibissoak.Config.ServerFaults.
-	ServerFaults bool   `arg:"--server-faults" help:"backend servers also name rate limits, say that they leave in their answers alone, and end under requests; a seed then draws other faults"`
-	Dir          string `arg:"--dir" placeholder:"DIR" help:"where settings and logs of the nodes are kept; a new temporary directory by default"`
+	ServerFaults bool `arg:"--server-faults" help:"backend servers also name rate limits, say that they leave in their answers alone, and end under requests; a seed then draws other faults"`
+	// Accounts gives the configuration accounts with changing keys.
+	Accounts bool   `arg:"--accounts" help:"the configuration has accounts whose keys are replaced with each change; all output is searched for keys"`
+	Dir      string `arg:"--dir" placeholder:"DIR" help:"where settings and logs of the nodes are kept; a new temporary directory by default"`
 }
 
 // Description returns what the command is for, for its help.
@@ -51,6 +53,7 @@
 			Nodes:        c.Nodes,
 			Faulty:       c.For,
 			ServerFaults: c.ServerFaults,
+			Accounts:     c.Accounts,
 			Dir:          place,
 		})
 		if err != nil {
--- a/internal/relay/ibisroute/account.go
+++ b/internal/relay/ibisroute/account.go
@@ -29,7 +29,7 @@
 	errAccountUnread   = errors.New("an account can't be read; the key may be one of its keys")
 	errNameInvalid     = fmt.Errorf("name must be 1 to %d printable characters without a space at either end", maxAccountNameBytes)
 	errNameDuplicate   = errors.New("another account before it has the same name")
-	errBurstIgnored    = errors.New("burst without ratePerS: it is ignored")
+	errBurstIgnored    = errors.New("burst without a rate: it is ignored")
 	errKeyEmpty        = errors.New("a key is empty: it is ignored")
 	errNoAccount       = errors.New("the list of accounts is empty: only routes without authentication accept requests")
 	errPriorityIgnored = fmt.Errorf("priority must be a whole number from 0 to %d: that of the route is used", maxAccountPriority)
@@ -158,7 +158,7 @@
 		return errNameInvalid
 	}
 	if !validRate(a.Rate) {
-		return fmt.Errorf("ratePerS %g: must be from 0 to %d", a.Rate, maxAccountRate)
+		return fmt.Errorf("rate %g: must be from 0 to %d", a.Rate, maxAccountRate)
 	}
 	if !validRate(a.Burst) {
 		return fmt.Errorf("burst %g: must be from 0 to %d", a.Burst, maxAccountRate)
--- a/packages_test.go
+++ b/packages_test.go
@@ -110,6 +110,7 @@
 	words := []string{
 		"Attempt-Id", "Time-Remaining-Ms", "Expected-Instance", "Caller-Service", "Not-Executed", "Shard-Key", "Server-Seal",
 		"rows-tx", "rows-get", "rows-feed", "/-/instances/", "in_service", "coldLeftMs", "weightedSplit", "ruleSet",
+		"apiKeys", "authExempt", "ratePerS",
 	}
 	list, err := exec.Command("git", "ls-files", "*.go").Output()
 	if err != nil {
