ibisadmission: refuses orders whose key was removed while they waited

Cause: an order may wait at a gate for longer than the 3 s within which a removed key must be refused. Change: an order has a digest of its key's hash and the version that accepted it. A gate with a newer version refuses the order if its account has no such key any more, right before the backend server would get it.

--- a/internal/relay/ibisadmission/admit.go
+++ b/internal/relay/ibisadmission/admit.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
 
+var errKeyRemoved = errors.New("the key was removed while the request waited")
+
 // decision is the gate's decision on one request.
 type decision struct {
 	admitted   bool
@@ -71,6 +75,21 @@
 	return ibisset.Some(ClassPolicy(order.Priority).Priority)
 }
 
+// checkAccount refuses an order whose account's key has been removed by a newer configuration than the one that it was accepted by,
+// since the order may have waited for long.
+func (g *Guard) checkAccount(order ibismessage.Order) (ibismessage.Answer, bool) {
+	if order.KeyDigest == 0 {
+		return ibismessage.Answer{}, true
+	}
+	g.mu.Lock()
+	config := g.rules.Config
+	g.mu.Unlock()
+	if config == nil || uint64(config.Version()) <= order.ConfigVersion || config.HasKey(order.Tenant, ibisroute.KeyDigest(order.KeyDigest)) {
+		return ibismessage.Answer{}, true
+	}
+	return ibismessage.NotRun(ibismessage.ReasonUnauthorized, 0, errKeyRemoved), false
+}
+
 // subtractWait returns a time that is earlier by the wait; a zero time stays zero.
 func subtractWait(t time.Time, wait time.Duration) time.Time {
 	if t.IsZero() {
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -183,6 +183,9 @@
 	if refusal, ok := g.checkKey(order); !ok {
 		return refusal
 	}
+	if refusal, ok := g.checkAccount(order); !ok {
+		return refusal
+	}
 	began := g.clock.Now()
 	left := g.timeLeft(order, began)
 	if left < minTimeLeft {
--- a/internal/relay/ibisadmission/guard_test.go
+++ b/internal/relay/ibisadmission/guard_test.go
@@ -21,6 +21,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisrange"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
 
@@ -216,12 +217,48 @@
 			send(context.Background(), o)
 			Eventually(func() int { return guard.Stats().Waiting }).Should(Equal(i + 1))
 		}
-		for range 4 {
+		server.answers <- okAnswer()
+		Eventually(server.count).Should(Equal(3))
+		for range 3 {
 			server.answers <- okAnswer()
 		}
 		Expect(server.orders[2].Tenant).To(BeEquivalentTo("kandy"))
 	})
 
+	// Guards against an order that runs long after its key was removed since it waited at the gate.
+	DescribeTable("checks the key of an order that has waited by a newer configuration", func(version ibisroute.Version, key string, reason ibismessage.Reason) {
+		withKey := func(version ibisroute.Version, key string) ibisadmission.Rules {
+			accounts := ibisroute.NewAccounts([]ibisroute.AccountEntry{{
+				Account: ibisroute.Account{Name: "kandy"},
+				Keys:    []ibisroute.KeyHash{ibisroute.HashKey(key)},
+			}})
+			return ibisadmission.Rules{Connections: 130, Config: ibisroute.New(version, ibisroute.Limits{}, nil, nil).WithAccounts(accounts)}
+		}
+		guard.SetRules(withKey(5, "k-1"))
+		guard.SetServer(state(ibisroster.StateServing), 0)
+		for range 2 {
+			send(context.Background(), order())
+		}
+		Eventually(server.count).Should(Equal(2))
+		o := order()
+		o.Tenant, o.KeyDigest, o.ConfigVersion = "kandy", uint64(ibisroute.HashKey("k-1").Digest()), 5
+		waiting := send(context.Background(), o)
+		Eventually(func() int { return guard.Stats().Waiting }).Should(Equal(1))
+		guard.SetRules(withKey(version, key))
+		for range 2 {
+			server.answers <- okAnswer()
+		}
+		if reason == "" {
+			server.answers <- okAnswer()
+		}
+		Eventually(waiting).Should(Receive(HaveField("Reason", reason)))
+		Expect(server.count() == 3).To(Equal(reason == ""))
+	},
+		Entry("kept", ibisroute.Version(6), "k-1", ibismessage.Reason("")),
+		Entry("removed", ibisroute.Version(6), "k-2", ibismessage.ReasonUnauthorized),
+		Entry("added by a newer one than the gate's", ibisroute.Version(4), "k-2", ibismessage.Reason("")),
+	)
+
 	It("treats the server as cold after its failure domain returns to service", func() {
 		guard.SetRules(rules)
 		guard.SetServer(state(ibisroster.StateServing), 0)
--- a/internal/relay/ibisadmission/rules.go
+++ b/internal/relay/ibisadmission/rules.go
@@ -7,11 +7,14 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
 
 // Rules is the configuration of the backend server's service and of its failure domain.
 type Rules struct {
+	// Config is the configuration that the rules come from, nil if keys of accounts are not checked.
+	Config *ibisroute.Config
 	// Policy sets the priorities and queue lengths of the request classes.
 	Policy ibisadmit.Policy
 	// Sharded is true if the service is divided by key.
--- a/internal/relay/ibisdispatch/account.go
+++ b/internal/relay/ibisdispatch/account.go
@@ -112,6 +112,9 @@
 	}
 	p.account, p.homes = account, homes
 	order.Header = p.request.passedHeader(config)
+	if order.KeyDigest != 0 {
+		order.ConfigVersion = uint64(config.Version())
+	}
 	order.Priority = ibisroute.EffectivePriority(account, p.route)
 	return ibismessage.Answer{}, true
 }
--- a/internal/relay/ibisdispatch/account_test.go
+++ b/internal/relay/ibisdispatch/account_test.go
@@ -122,7 +122,7 @@
 			Expect(logs.FilterMessage("request refused").FilterField(zap.String("reason", string(reason))).Len()).To(Equal(1))
 			return
 		}
-		Expect(p.orders).To(ConsistOf(And(HaveField("Tenant", tenant), HaveField("Priority", priority),
+		Expect(p.orders).To(ConsistOf(And(HaveField("Tenant", tenant), HaveField("Priority", priority), WithTransform(func(o ibismessage.Order) bool { return o.KeyDigest != 0 }, Equal(route == "look")),
 			HaveField("Header", Equal(http.Header{"Accept": {"*/*"}})))))
 	},
 		Entry("known key", "look", "k-1", ibismessage.Reason(""), ibisid.TenantName("kandy"), 1),
--- a/internal/relay/ibisdispatch/request.go
+++ b/internal/relay/ibisdispatch/request.go
@@ -106,6 +106,10 @@
 	}
 	if p.account != nil {
 		order.Tenant = p.account.Name
+		if !p.route.AuthExempt {
+			order.KeyDigest = uint64(ibisroute.HashKey(r.APIKey).Digest())
+			order.ConfigVersion = uint64(p.config.Version())
+		}
 	}
 	if p.service.Sharded {
 		order.Key = r.Key
--- a/internal/relay/ibisforward/wire.go
+++ b/internal/relay/ibisforward/wire.go
@@ -26,6 +26,8 @@
 	Service     ibisid.ServiceName `json:"service"`
 	Class       ibisid.ClassName   `json:"class"`
 	Tenant      ibisid.TenantName  `json:"tenant,omitempty"`
+	KeyDigest   uint64             `json:"keyDigest,omitempty"`
+	Config      uint64             `json:"config,omitempty"`
 	Priority    int                `json:"priority,omitempty"`
 	Repeatable  bool               `json:"repeatable,omitempty"`
 	Key         int                `json:"key"`
@@ -99,6 +101,8 @@
 		Service:     order.Service,
 		Class:       order.Class,
 		Tenant:      order.Tenant,
+		KeyDigest:   order.KeyDigest,
+		Config:      order.ConfigVersion,
 		Priority:    order.Priority,
 		Repeatable:  order.Repeatable,
 		Key:         order.Key,
@@ -128,23 +132,25 @@
 		return ibismessage.Order{}, fmt.Errorf("order of a node: %w", err)
 	}
 	order := ibismessage.Order{
-		ID:          h.ID,
-		Method:      r.Method,
-		URI:         r.RequestURI,
-		Host:        r.Host,
-		Header:      ibisbackend.EndToEndHeaders(r.Header),
-		Length:      r.ContentLength,
-		Origin:      h.Origin,
-		Service:     h.Service,
-		Class:       h.Class,
-		Tenant:      h.Tenant,
-		Priority:    h.Priority,
-		Repeatable:  h.Repeatable,
-		Key:         h.Key,
-		PageVersion: h.PageVersion,
-		Notice:      decodeNotice(h.Notice),
-		Target:      now.Add(time.Duration(h.TargetMs) * time.Millisecond),
-		Deadline:    now.Add(time.Duration(h.LeftMs) * time.Millisecond),
+		ID:            h.ID,
+		Method:        r.Method,
+		URI:           r.RequestURI,
+		Host:          r.Host,
+		Header:        ibisbackend.EndToEndHeaders(r.Header),
+		Length:        r.ContentLength,
+		Origin:        h.Origin,
+		Service:       h.Service,
+		Class:         h.Class,
+		Tenant:        h.Tenant,
+		KeyDigest:     h.KeyDigest,
+		Priority:      h.Priority,
+		Repeatable:    h.Repeatable,
+		Key:           h.Key,
+		PageVersion:   h.PageVersion,
+		Notice:        decodeNotice(h.Notice),
+		ConfigVersion: h.Config,
+		Target:        now.Add(time.Duration(h.TargetMs) * time.Millisecond),
+		Deadline:      now.Add(time.Duration(h.LeftMs) * time.Millisecond),
 	}
 	if r.ContentLength != 0 {
 		order.BodyRest = r.Body
--- a/internal/relay/ibismessage/order.go
+++ b/internal/relay/ibismessage/order.go
@@ -38,6 +38,10 @@
 	Class ibisid.ClassName
 	// Tenant is the client account that sent the request, empty if it has none.
 	Tenant ibisid.TenantName
+	// KeyDigest is the ibisroute.KeyDigest of the key by which the account may run the request, zero if none is needed.
+	KeyDigest uint64
+	// ConfigVersion is the version of the configuration by which KeyDigest was accepted.
+	ConfigVersion uint64
 	// Priority is the rank of the account, or that of the class if there is none, where zero is the highest.
 	Priority int
 	// Repeatable reports whether the request may run more than once.
--- a/internal/relay/ibisroute/account.go
+++ b/internal/relay/ibisroute/account.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"maps"
@@ -41,6 +42,16 @@
 // HashKey returns the hash of a key.
 func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
 
+// KeyDigest is a short digest of the hash of a key. A node that does not get the key sees by it whether the key still is one of its
+// account's. It is never zero.
+type KeyDigest uint64
+
+// Digest returns the digest of the hash.
+func (h KeyHash) Digest() KeyDigest {
+	sum := sha256.Sum256(h[:])
+	return KeyDigest(max(1, binary.BigEndian.Uint64(sum[:])))
+}
+
 // Account is a client account: its callers share a priority, a rate limit and home regions.
 type Account struct {
 	// Name is the name of the account.
@@ -74,6 +85,8 @@
 	// sorted lists the accounts by name.
 	sorted []*Account
 	byKey  map[KeyHash]keyOwner
+	// digests lists the digests of each account's keys.
+	digests map[ibisid.TenantName][]KeyDigest
 	// keysUnread reports that a key which is not in byKey may belong to an account.
 	keysUnread bool
 	faults     []error
@@ -93,6 +106,8 @@
 	a := &Accounts{
 		byName: make(map[ibisid.TenantName]*Account, len(entries)),
 		byKey:  make(map[KeyHash]keyOwner),
+
+		digests: make(map[ibisid.TenantName][]KeyDigest, len(entries)),
 	}
 	if len(entries) == 0 {
 		a.faults = append(a.faults, errNoAccount)
@@ -100,6 +115,11 @@
 	for i, entry := range entries {
 		a.add(i, entry)
 	}
+	for key, owner := range a.byKey {
+		if owner.account != nil {
+			a.digests[owner.account.Name] = append(a.digests[owner.account.Name], key.Digest())
+		}
+	}
 	a.sorted = slices.SortedFunc(maps.Values(a.byName), func(x, y *Account) int { return cmp.Compare(x.Name, y.Name) })
 	return a
 }
@@ -237,6 +257,11 @@
 	return owner.account, owner.fault
 }
 
+// HasKey reports whether the key with the digest is one of an account's, or requests need no key.
+func (c *Config) HasKey(account ibisid.TenantName, digest KeyDigest) bool {
+	return c.accounts == nil || slices.Contains(c.accounts.digests[account], digest)
+}
+
 // Accounts returns the accounts that can be used, sorted by name.
 func (c *Config) Accounts() []*Account {
 	if c.accounts == nil {
