--- a/internal/program/ibiscli/explain.go
+++ b/internal/program/ibiscli/explain.go
@@ -80,7 +80,12 @@
 	"internal":         "the node failed by a fault of its own; its log has the stack: it may have run",
 	"faultyRoute":      "the configuration of the matching route can't be used; the log line of the configuration says why",
 	"noConfig":         "the node knew no configuration yet",
-	"configUnverified": "no route matches, and no other node said in time whether it had a newer configuration",
+	"unauthorized":     "it carried no key of an account, or an unknown or removed one",
+	"faultyAccount":    "its key can't be assigned to one account; the log line of the configuration says why",
+	"accountChanged":   "its key moved to another account while it waited",
+	"quota":            "the limit of its account was reached",
+	"quotaUnknown":     "its account has a limit, and the node could not learn whether it was reached",
+	"configUnverified": "no route matches or the key is unknown, and no other node said in time whether it had a newer configuration",
 	"tooLong":          "the body is longer than the configuration allows",
 	"headerTooLong":    "the headers are longer than the configuration allows",
 }
