Calls inherit the rank, target and remaining time of their run; runs that fail by calls are bounded

Cause: a call comes out of the backend server unmarked. It waited behind new work of its rank and past the end of its run, and a gate kept admitting runs whose calls failed, each of which held a slot for nothing.

Change: ibiscalls learns which classes the runs call from the runs in progress during requests and half a second beside them, and which runs failed because of their calls. The entry node marks calls (order field call, calls only). The gate puts calls before callers' requests of equal priority, and admits a class whose runs fail by their calls as far as they don't. Metrics, log lines, the model's calls and the column FAILED BY CALLS.

--- a/admissionevent.go
+++ b/admissionevent.go
@@ -26,6 +26,10 @@
 	GatePolicyEvent = ibisadmit.PolicyEvent
 	// GateBaselineEvent reports what another gate of the same service has learnt of a class.
 	GateBaselineEvent = ibisadmit.BaselineEvent
+	// GateCallsFailedEvent reports that a run failed because its calls to other services failed.
+	GateCallsFailedEvent = ibisadmit.CallsFailedEvent
+	// GateCallAnsweredEvent reports that a call by a run was answered.
+	GateCallAnsweredEvent = ibisadmit.CallAnsweredEvent
 	// GateDrainEvent ends admission permanently: queued requests are refused, running ones finish, and a
 	// GateDrainedEffect follows the last one.
 	GateDrainEvent = ibisadmit.DrainEvent
--- a/internal/measure/ibisexperiment/report.go
+++ b/internal/measure/ibisexperiment/report.go
@@ -12,7 +12,7 @@
 
 // Header names the columns of Cells.
 func Header() []string {
-	return []string{"POLICY", "WORTH", "WORST 5 S", "SERVED", "REFUSALS", "OF THEM LATE", "REFUSAL P99", "IMBALANCE", "RUNS PER REQUEST", "MB BETWEEN REGIONS", "COLD OVER", "COLD CRASHES"}
+	return []string{"POLICY", "WORTH", "WORST 5 S", "SERVED", "REFUSALS", "OF THEM LATE", "REFUSAL P99", "IMBALANCE", "RUNS PER REQUEST", "MB BETWEEN REGIONS", "FAILED BY CALLS", "COLD OVER", "COLD CRASHES"}
 }
 
 // Cells returns a row's figures as texts, means over the seeds.
@@ -31,6 +31,7 @@
 		number("%.2f", func(x ibismodel.Result) float64 { return x.Imbalance }),
 		number("%.2f", func(x ibismodel.Result) float64 { return float64(x.Arrivals) / float64(max(1, asked(x))) }),
 		number("%.1f", func(x ibismodel.Result) float64 { return float64(x.RegionBytes) / 1e6 }),
+		number("%.3f", func(x ibismodel.Result) float64 { return float64(x.FailedByCalls) / float64(max(1, x.CallingRuns)) }),
 		number("%.0f", func(x ibismodel.Result) float64 { return float64(x.ColdOver) }),
 		number("%.0f", func(x ibismodel.Result) float64 { return float64(x.ColdFalls) }),
 	}
--- a/internal/measure/ibismodel/caller.go
+++ b/internal/measure/ibismodel/caller.go
@@ -73,7 +73,7 @@
 			return
 		}
 		var r *request
-		r = w.enter(c.class, c.key, c.node, callerTimeout, func(end ending) {
+		r = w.newRequest(c.class, c.key, c.node, callerTimeout, func(end ending) {
 			w.After(w.config.Fleet.CallerDelay.Duration, func() {
 				if !c.over && c.current == r {
 					c.answered(end)
@@ -81,6 +81,7 @@
 			})
 		})
 		c.current = r
+		w.enter(r)
 	})
 }
 
--- a/internal/measure/ibismodel/node.go
+++ b/internal/measure/ibismodel/node.go
@@ -11,6 +11,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisretrypolicy"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 	"github.com/ibisridge/ibisridge/internal/request/ibisbalancer"
+	"github.com/ibisridge/ibisridge/internal/request/ibiscalls"
 )
 
 // node is an instance: the door that takes callers' requests, the gate and the backend server.
@@ -21,6 +22,7 @@
 	service    *service
 	server     *server
 	gate       *ibisadmit.Gate
+	calls      *ibiscalls.Tracker
 	waiting    map[ibisadmit.RequestID]*attempt
 	choosers   map[ibisid.ServiceName]*ibisbalancer.Chooser
 	sent       map[ibisid.NodeName]int
@@ -74,6 +76,7 @@
 	}
 	n.gate = ibisadmit.New(ibisadmission.GateConfig(n.service.config.Slots, 0, n.service.config.Keyed, n.service.policy), now)
 	n.waiting = make(map[ibisadmit.RequestID]*attempt)
+	n.calls = ibiscalls.New(now)
 }
 
 // tellCold tells the gate that its server is cold.
--- a/internal/measure/ibismodel/request.go
+++ b/internal/measure/ibismodel/request.go
@@ -4,9 +4,11 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
+	"github.com/ibisridge/ibisridge/internal/relay/ibisadmission"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisretrypolicy"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 	"github.com/ibisridge/ibisridge/internal/request/ibisbalancer"
+	"github.com/ibisridge/ibisridge/internal/request/ibiscalls"
 )
 
 const (
@@ -30,6 +32,11 @@
 	// done is called with the end of the request; never after the caller has left.
 	done func(end ending)
 	gone bool
+	// rank is the rank of the class, or that of the run that a call serves if it is more urgent. call says that such a run is known;
+	// callID is zero for a caller's request.
+	rank   int
+	call   bool
+	callID ibiscalls.CallID
 }
 
 // ending is how a request ended at the door.
@@ -51,8 +58,8 @@
 	ended    bool
 }
 
-// enter takes a request at the door of a node.
-func (w *world) enter(class *Class, key int, origin *node, callerTimeout time.Duration, done func(ending)) *request {
+// newRequest returns a request at the door of a node.
+func (w *world) newRequest(class *Class, key int, origin *node, callerTimeout time.Duration, done func(ending)) *request {
 	now := w.Now()
 	age := origin.callerAges.Estimate(class.Name, callerTimeout)
 	r := &request{
@@ -63,6 +70,7 @@
 		target:   now.Add(min(class.Target.Duration-age, callerTimeout)),
 		deadline: now.Add(callerTimeout),
 		done:     done,
+		rank:     class.Priority,
 	}
 	attempts := class.MaxAttempts
 	if attempts == 0 {
@@ -77,12 +85,16 @@
 		Resendable:  true,
 		Keyed:       w.services[class.Service].config.Keyed,
 	})
-	origin.budget.AddRequest()
+	return r
+}
+
+// enter takes a request at the door of its node.
+func (w *world) enter(r *request) {
+	r.origin.budget.AddRequest()
 	w.send(r, ending{
 		outcome:    ibisid.OutcomeNotRun,
 		retryAfter: ibisretrypolicy.DefaultRetryAfter,
 	})
-	return r
 }
 
 // send sends a request to the node that the policy picks, or ends it as its last try did.
@@ -134,10 +146,12 @@
 	a.admitted = true
 	a.node.waiting[ibisadmit.RequestID(a.id)] = a
 	w.update(a.node, ibisadmit.ArriveEvent{
-		ID:       ibisadmit.RequestID(a.id),
-		Class:    a.request.class.Name,
-		Target:   a.request.target,
-		Deadline: a.request.deadline,
+		ID:           ibisadmit.RequestID(a.id),
+		Class:        a.request.class.Name,
+		Call:         a.request.call,
+		CallPriority: ibisadmission.ClassPolicy(a.request.rank).Priority,
+		Target:       a.request.target,
+		Deadline:     a.request.deadline,
 	})
 }
 
@@ -241,6 +255,7 @@
 		return
 	}
 	r.gone = true
+	w.endCall(r, end.failed || end.outcome != ibisid.OutcomeDone, false)
 	if end.outcome == ibisid.OutcomeNotRun {
 		end.retryAfter = ibisretrypolicy.AddJitter(max(end.retryAfter, ibisretrypolicy.DefaultRetryAfter), r.origin.random)
 	}
@@ -254,6 +269,7 @@
 		return
 	}
 	r.gone = true
+	w.endCall(r, false, true)
 	a := r.current
 	if a == nil || a.ended {
 		return
@@ -270,6 +286,10 @@
 				a.call = nil
 				w.leave(call)
 			}
+			w.updateCalls(a.node, ibiscalls.RunEndEvent{
+				ID:        ibiscalls.RunID(a.id),
+				Abandoned: true,
+			})
 			w.free(a)
 			w.finished(a, false)
 			return
--- a/internal/measure/ibismodel/run.go
+++ b/internal/measure/ibismodel/run.go
@@ -6,6 +6,7 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisretrypolicy"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
+	"github.com/ibisridge/ibisridge/internal/request/ibiscalls"
 )
 
 // begin hands an attempt to the backend server.
@@ -35,6 +36,13 @@
 	s, class := a.node.server, a.request.class
 	s.running[a] = struct{}{}
 	s.served++
+	w.updateCalls(a.node, ibiscalls.RunBeginEvent{
+		ID:       ibiscalls.RunID(a.id),
+		Class:    class.Name,
+		Rank:     a.request.rank,
+		Target:   a.request.target,
+		Deadline: a.request.deadline,
+	})
 	span := s.span(class.Work.Duration, w.Now())
 	fails := s.random.Float64() < s.grey
 	calls := class.Calls != "" && (class.CallShare == 0 || s.random.Float64() < class.CallShare)
@@ -46,12 +54,14 @@
 		if a.ended {
 			return
 		}
+		w.tally.callingRuns++
 		callee := w.classes[class.Calls]
 		callerTimeout := min(callee.Deadline.Duration, a.request.deadline.Sub(w.Now()))
-		a.call = w.enter(callee, w.drawKey(), a.node, callerTimeout, func(end ending) {
+		a.call = w.call(callee, a.node, callerTimeout, func(end ending) {
 			a.call = nil
 			failed := fails || end.failed || end.outcome != ibisid.OutcomeDone
 			if failed {
+				w.tally.failedByCalls++
 				w.After(0, func() { w.complete(a, true) })
 				return
 			}
@@ -62,6 +72,7 @@
 				call := a.call
 				a.call = nil
 				w.leave(call)
+				w.tally.failedByCalls++
 				w.complete(a, true)
 			}
 		})
@@ -73,6 +84,10 @@
 	if a.ended {
 		return
 	}
+	w.updateCalls(a.node, ibiscalls.RunEndEvent{
+		ID:     ibiscalls.RunID(a.id),
+		Failed: failed,
+	})
 	w.free(a)
 	w.finished(a, failed)
 	transfer := time.Duration(0)
--- a/internal/measure/ibismodel/tally.go
+++ b/internal/measure/ibismodel/tally.go
@@ -95,6 +95,10 @@
 	RegionBytes int64
 	// Arrivals is the number of requests that backend servers began, calls and repeats included.
 	Arrivals int
+	// CallingRuns is the number of runs that made a call, and FailedByCalls that of those whose call failed.
+	CallingRuns int
+	// FailedByCalls is the number of runs whose call failed.
+	FailedByCalls int
 	// ColdOver is the number of requests above what a cold server may get in a second.
 	ColdOver int
 	// ColdFalls is the number of cold servers that crashed under their load.
@@ -103,11 +107,13 @@
 
 // tally counts how requests end.
 type tally struct {
-	world       *world
-	from        time.Time
-	classes     map[ibisid.ClassName]*classTally
-	seconds     []Second
-	regionBytes int64
+	world         *world
+	from          time.Time
+	classes       map[ibisid.ClassName]*classTally
+	seconds       []Second
+	regionBytes   int64
+	callingRuns   int
+	failedByCalls int
 }
 
 type classTally struct {
@@ -205,8 +211,10 @@
 func (w *world) result() Result {
 	t := w.tally
 	r := Result{
-		Seconds:     t.seconds,
-		RegionBytes: t.regionBytes,
+		Seconds:       t.seconds,
+		RegionBytes:   t.regionBytes,
+		CallingRuns:   t.callingRuns,
+		FailedByCalls: t.failedByCalls,
 	}
 	quantile := func(h *hdrhistogram.Histogram, q float64) time.Duration {
 		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
--- a/internal/relay/ibisadmission/admit.go
+++ b/internal/relay/ibisadmission/admit.go
@@ -51,11 +51,16 @@
 	g.waiting[id] = answer
 	incarnation := g.server.Incarnation
 	g.apply(ibisadmit.ArriveEvent{
-		ID:       id,
-		Class:    order.Class,
-		Target:   subtractWait(order.Target, linkWait),
-		Deadline: subtractWait(order.Deadline, linkWait),
+		ID:           id,
+		Class:        order.Class,
+		Call:         order.Call,
+		CallPriority: ClassPolicy(order.Priority).Priority,
+		Target:       subtractWait(order.Target, linkWait),
+		Deadline:     subtractWait(order.Deadline, linkWait),
 	}, now)
+	for class := range g.callBounds {
+		g.logCallBound(class)
+	}
 	g.scheduleTick()
 	return id, incarnation, answer, ibismessage.Answer{}
 }
@@ -134,6 +139,9 @@
 			})
 		case ibisadmit.RefuseEffect:
 			g.stats.Refused++
+			if e.Reason == ibisadmit.ReasonCalls {
+				g.stats.RefusedForCalls++
+			}
 			g.deliver(e.ID, decision{
 				reason:     e.Reason,
 				retryAfter: e.RetryAfter,
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -18,6 +18,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisrange"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
+	"github.com/ibisridge/ibisridge/internal/request/ibiscalls"
 	"github.com/ibisridge/ibisridge/internal/request/ibislatency"
 )
 
@@ -78,6 +79,11 @@
 	// notice is what the backend server last said about itself, absent before its first answer.
 	notice ibisset.Option[ibismessage.ServerNotice]
 	stats  Stats
+	// calls learns what the backend server's runs call, and callBounds holds the classes whose runs are bounded because their calls
+	// fail.
+	calls      *ibiscalls.Tracker
+	nextCall   ibiscalls.CallID
+	callBounds ibisset.Set[ibisid.ClassName]
 }
 
 // Stats contains the counts of admission decisions since the start, and the current load.
@@ -86,6 +92,12 @@
 	Admitted uint64
 	// Refused is the number of requests that were not admitted.
 	Refused uint64
+	// Calls is the number of requests of the own backend server that got the rank of a run.
+	Calls uint64
+	// FailedByCalls is the number of runs that failed because of their calls.
+	FailedByCalls uint64
+	// RefusedForCalls is the number of requests that were refused because the calls of their runs would fail.
+	RefusedForCalls uint64
 	// Running is the number of requests that the backend server processes.
 	Running int
 	// Waiting is the number of requests that wait for a slot.
@@ -99,11 +111,13 @@
 // New returns a guard without a backend server and without rules; it refuses all requests until it has both.
 func New(backend Backend, ownership Ownership, limits Limits, clock ibistimer.Service, log *zap.Logger) *Guard {
 	return &Guard{
-		backend:   backend,
-		ownership: ownership,
-		clock:     clock,
-		log:       log,
-		waiting:   make(map[ibisadmit.RequestID]chan decision),
+		backend:    backend,
+		ownership:  ownership,
+		clock:      clock,
+		log:        log,
+		waiting:    make(map[ibisadmit.RequestID]chan decision),
+		calls:      ibiscalls.New(clock.Now()),
+		callBounds: make(ibisset.Set[ibisid.ClassName]),
 		link: link{
 			limits:     limits,
 			meanLength: make(map[ibisid.ClassName]*ibislatency.Mean),
@@ -192,7 +206,7 @@
 	if !ok {
 		return ibismessage.NotRun(ibismessage.ReasonStopping, 0, nil)
 	}
-	answer := g.send(ctx, order, incarnation, left, expectedBytes)
+	answer := g.send(ctx, order, id, incarnation, left, expectedBytes)
 	g.hear(answer.Notice)
 	end.Latency = g.clock.Now().Sub(began)
 	if answer.Outcome != ibisid.OutcomeDone {
@@ -215,11 +229,13 @@
 }
 
 // send runs an order and accounts for the bytes of its answer on the link, of which expectedBytes are reserved.
-func (g *Guard) send(ctx context.Context, order ibismessage.Order, incarnation ibisroster.ServerIncarnation, left time.Duration, expectedBytes float64) ibismessage.Answer {
+func (g *Guard) send(ctx context.Context, order ibismessage.Order, id ibisadmit.RequestID, incarnation ibisroster.ServerIncarnation, left time.Duration, expectedBytes float64) (answer ibismessage.Answer) {
+	g.beginRun(id, order)
 	defer func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.link.expectedBytes -= expectedBytes
+		g.endRun(id, answer)
 	}()
 	return g.backend.Send(ctx, order, incarnation, left)
 }
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -88,6 +88,7 @@
 	notices    map[ibisid.NodeName]ibismessage.ServerNotice
 	quarantine *ibisquarantine.Ledger
 	verifier   ConfigVerifier
+	calls      Calls
 	shutdown   ibisshutdown.Schedule
 }
 
@@ -318,7 +319,7 @@
 }
 
 // Serve sends a request to a backend server and returns its answer, or an answer with the reason why there is none.
-func (d *Dispatcher) Serve(ctx context.Context, request Request) ibismessage.Answer {
+func (d *Dispatcher) Serve(ctx context.Context, request Request) (answer ibismessage.Answer) {
 	p, refusal, ok := d.plan(request)
 	if refusal.Reason == ibismessage.ReasonNoRoute {
 		p, refusal, ok = d.planUnmatched(ctx, request)
@@ -326,6 +327,8 @@
 	if !ok {
 		return refusal
 	}
+	endCall := d.beginCall(request, &p)
+	defer func() { endCall(ctx, answer) }()
 	limit := p.config.Limits().BodyBytes
 	body, rest, err := readBody(request, limit)
 	if err != nil {
--- a/internal/relay/ibisdispatch/log.go
+++ b/internal/relay/ibisdispatch/log.go
@@ -53,7 +53,7 @@
 		zap.String("request", request.ID),
 		zap.String("class", string(p.route.Name)),
 		zap.String("service", string(p.service.Name)),
-		zap.Int("priority", p.route.Priority),
+		zap.Int("priority", p.priority),
 		zap.Int("key", request.Key),
 		zap.Duration("patience", request.CallerTimeout),
 		zap.Duration("target", p.route.Target),
@@ -63,6 +63,9 @@
 		zap.String("outcome", string(answer.Outcome)),
 		zap.Duration("held", elapsed),
 	}
+	if p.call {
+		fields = append(fields, zap.Bool("call", true))
+	}
 	if slices.ContainsFunc(tries, nodeTry.crashed) {
 		fields = append(fields, zap.Stringer("fingerprint", fingerprintOf(order)))
 	}
--- a/internal/relay/ibisdispatch/plan.go
+++ b/internal/relay/ibisdispatch/plan.go
@@ -82,5 +82,6 @@
 		deadline:  d.boundDeadline(r.Arrived.Add(timeout)),
 		arrived:   r.Arrived,
 		callerAge: callerAge,
+		priority:  route.Priority,
 	}, ibismessage.Answer{}, true
 }
--- a/internal/relay/ibisdispatch/request.go
+++ b/internal/relay/ibisdispatch/request.go
@@ -57,6 +57,10 @@
 	arrived  time.Time
 	// callerAge is the estimated time since the caller's first attempt.
 	callerAge time.Duration
+	// priority is the rank of the route, or that of the run that a call serves if it is more urgent.
+	priority int
+	// call reports that the request serves a run of the own backend server.
+	call bool
 }
 
 // newRetrier returns a new Retrier, which decides on the retries of the plan's order.
@@ -86,7 +90,8 @@
 		Origin:     r.Origin,
 		Service:    p.service.Name,
 		Class:      p.route.Name,
-		Priority:   p.route.Priority,
+		Priority:   p.priority,
+		Call:       p.call,
 		Repeatable: p.route.Kind.Repeatable(),
 		Key:        ibismessage.NoKey,
 		Target:     p.target,
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -96,7 +96,7 @@
 		return ibismessage.Order{
 			ID: "r1", Method: http.MethodPost, URI: "/a//b?c=%2f", Host: "mats.example",
 			Header: http.Header{"Shop": {"7"}, "Attempt-Id": {"r1"}}, Body: []byte("order"), Length: 5,
-			Origin: "desk", Service: "floor", Class: "print", Priority: 2, Key: 9,
+			Origin: "desk", Service: "floor", Class: "print", Priority: 2, Call: true, Key: 9,
 			Target: clock.Now().Add(400 * time.Millisecond), Deadline: clock.Now().Add(time.Second),
 		}
 	}
@@ -133,8 +133,8 @@
 		Expect(answer.Notice).To(Equal(ibisset.Some(sent.Notice)))
 		Expect(got.Header.Get("Shop")).To(Equal("7"))
 		Expect(got.Header).NotTo(HaveKey("X-Ibis-Order"))
-		Expect([]any{got.ID, got.Origin, got.Service, got.Class, got.Priority, got.Key}).
-			To(Equal([]any{sent.ID, sent.Origin, sent.Service, sent.Class, sent.Priority, sent.Key}))
+		Expect([]any{got.ID, got.Origin, got.Service, got.Class, got.Priority, got.Call, got.Key}).
+			To(Equal([]any{sent.ID, sent.Origin, sent.Service, sent.Class, sent.Priority, sent.Call, sent.Key}))
 		Expect(got.Deadline).To(BeTemporally("~", sent.Deadline, 50*time.Millisecond))
 		Expect(got.Target).To(BeTemporally("~", sent.Target, 50*time.Millisecond))
 	})
--- a/internal/relay/ibisforward/wire.go
+++ b/internal/relay/ibisforward/wire.go
@@ -26,6 +26,7 @@
 	Service     ibisid.ServiceName `json:"service"`
 	Class       ibisid.ClassName   `json:"class"`
 	Priority    int                `json:"priority,omitempty"`
+	Call        bool               `json:"call,omitempty"`
 	Repeatable  bool               `json:"repeatable,omitempty"`
 	Key         int                `json:"key"`
 	PageVersion uint64             `json:"pageVersion,omitempty"`
@@ -98,6 +99,7 @@
 		Service:     order.Service,
 		Class:       order.Class,
 		Priority:    order.Priority,
+		Call:        order.Call,
 		Repeatable:  order.Repeatable,
 		Key:         order.Key,
 		PageVersion: order.PageVersion,
@@ -136,6 +138,7 @@
 		Service:     h.Service,
 		Class:       h.Class,
 		Priority:    h.Priority,
+		Call:        h.Call,
 		Repeatable:  h.Repeatable,
 		Key:         h.Key,
 		PageVersion: h.PageVersion,
--- a/internal/relay/ibismessage/order.go
+++ b/internal/relay/ibismessage/order.go
@@ -38,6 +38,9 @@
 	Class ibisid.ClassName
 	// Priority is the rank of the class, where zero is the highest.
 	Priority int
+	// Call reports that the request serves a run of another backend server; Priority, Target and Deadline are no worse than those of the
+	// run.
+	Call bool
 	// Repeatable reports whether the request may run more than once.
 	Repeatable bool
 	// Key is the caller's key, or NoKey.
--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -17,7 +17,14 @@
 		g.refuse(e.ID, ReasonSlow, slowRetryAfter)
 		return
 	}
-	q := g.queue(e.Class, false)
+	key := queueKey{
+		class: e.Class,
+		call:  e.Call,
+	}
+	if e.Call {
+		key.callPriority = e.CallPriority
+	}
+	q := g.queue(key)
 	tenant := g.config.Policy.Tenants[e.Tenant]
 	wait := g.estimateWait(q, q.ahead(e.Tenant, tenant.weight()), now)
 	if g.wouldMiss(q, e.Deadline, wait, now) {
@@ -25,7 +32,8 @@
 		return
 	}
 	if g.wouldMiss(q, e.Target, wait, now) {
-		q = g.queue(e.Class, true)
+		key.late = true
+		q = g.queue(key)
 		wait = g.estimateWait(q, q.ahead(e.Tenant, tenant.weight()), now)
 		if g.shouldRefuseLate(q, e.Deadline, wait, now) {
 			g.refuse(e.ID, ReasonTarget, max(wait, minRetryAfter))
@@ -40,6 +48,10 @@
 		g.refuse(e.ID, ReasonRate, delay)
 		return
 	}
+	if delay := g.callDelay(e.Class); delay > 0 {
+		g.refuse(e.ID, ReasonCalls, delay)
+		return
+	}
 	q.push(waitingRequest{
 		id:       e.ID,
 		tenant:   e.Tenant,
@@ -61,7 +73,7 @@
 // hasLowerPriorityWork reports whether requests of a class of lower priority run or wait.
 func (g *Gate) hasLowerPriorityWork(q *classQueue) bool {
 	for _, other := range g.queues {
-		if other.policy.Priority < q.policy.Priority && (other.length > 0 || other.running > 0) {
+		if other.priority() < q.priority() && (other.length > 0 || other.running > 0) {
 			return true
 		}
 	}
@@ -108,8 +120,8 @@
 	// the current one.
 	heldAbove, heldEqual, priority := 0, 0, 0
 	for i, other := range g.queues {
-		if i == 0 || other.policy.Priority != priority {
-			heldAbove, heldEqual, priority = heldAbove+heldEqual, 0, other.policy.Priority
+		if i == 0 || other.priority() != priority {
+			heldAbove, heldEqual, priority = heldAbove+heldEqual, 0, other.priority()
 		}
 		heldEqual += other.running
 		if other == q {
--- a/internal/request/ibisadmit/dispatch.go
+++ b/internal/request/ibisadmit/dispatch.go
@@ -8,11 +8,13 @@
 	for _, q := range g.queues {
 		for q.length > 0 && g.hasRoom(q, now) {
 			w, _ := q.pop()
+			lateKey := q.queueKey()
+			lateKey.late = true
 			switch {
 			case g.wouldMiss(q, w.deadline, 0, now):
 				g.refuse(w.id, ReasonDeadline, minRetryAfter)
 			case !q.late && g.wouldMiss(q, w.target, 0, now):
-				g.requeueLate(w, g.queue(q.name, true), now)
+				g.requeueLate(w, g.queue(lateKey), now)
 			default:
 				g.admit(q, w, now)
 			}
--- a/internal/request/ibisadmit/effect.go
+++ b/internal/request/ibisadmit/effect.go
@@ -19,7 +19,7 @@
 // IsOverload reports whether the request was refused because of load, which other gates of the service are likely to share:
 // sending it to one of them would not help.
 func (r Reason) IsOverload() bool {
-	return r == ReasonTarget || r == ReasonLink || r == ReasonQueueFull || r == ReasonDeadline
+	return r == ReasonTarget || r == ReasonLink || r == ReasonQueueFull || r == ReasonDeadline || r == ReasonCalls
 }
 
 const (
@@ -33,6 +33,8 @@
 	ReasonTarget Reason = "target"
 	// ReasonLink means that the answer would miss its target time because of the bytes queued on the instance's network link.
 	ReasonLink Reason = "link"
+	// ReasonCalls means that runs of the class fail because their calls to other services fail.
+	ReasonCalls Reason = "calls"
 	// ReasonSlow means that the backend server answers far more slowly than usual and other servers may be faster.
 	ReasonSlow Reason = "slow"
 	// ReasonDraining means that the backend server is shutting down.
--- a/internal/request/ibisadmit/event.go
+++ b/internal/request/ibisadmit/event.go
@@ -26,6 +26,10 @@
 	// waiting is either refused on arrival, when it can still be sent elsewhere, or queued behind the requests that are in
 	// time.
 	Target time.Time
+	// Call reports that the request serves a run of another backend server. It goes before callers' requests of equal priority.
+	Call bool
+	// CallPriority is the priority of that run, which the call gets if it is the greater one.
+	CallPriority int
 }
 
 // FinishEvent reports that an admitted request ended.
@@ -47,6 +51,21 @@
 	ID RequestID
 }
 
+// CallsFailedEvent reports that a run failed because its calls to other services failed. It precedes the run's FinishEvent or
+// follows it.
+type CallsFailedEvent struct {
+	// Class is the class of the run.
+	Class ibisid.ClassName
+	// BeganAt is when the run began.
+	BeganAt time.Time
+}
+
+// CallAnsweredEvent reports that a call by a run of a class was answered.
+type CallAnsweredEvent struct {
+	// Class is the class of the run.
+	Class ibisid.ClassName
+}
+
 // CancelEvent removes a request that still waits. A running request is unaffected and ends with its FinishEvent.
 type CancelEvent struct {
 	// ID is the request.
@@ -109,6 +128,8 @@
 func (ArriveEvent) gateEvent()       {}
 func (FinishEvent) gateEvent()       {}
 func (HeadReceivedEvent) gateEvent() {}
+func (CallsFailedEvent) gateEvent()  {}
+func (CallAnsweredEvent) gateEvent() {}
 func (CancelEvent) gateEvent()       {}
 func (IdleClosedEvent) gateEvent()   {}
 func (ColdEvent) gateEvent()         {}
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -37,13 +37,17 @@
 	domainOut       bool
 	coldRate        coldRateLimit
 	serverRate      serverRate
+	callBounds      map[ibisid.ClassName]*callBound
 	effects         []Effect
 }
 
-// queueKey identifies a queue: each class has one for requests that can meet their target and one for late requests.
+// queueKey identifies a queue: each class has one for requests that can meet their target and one for late requests, and the same for
+// calls of each priority.
 type queueKey struct {
-	class ibisid.ClassName
-	late  bool
+	class        ibisid.ClassName
+	late         bool
+	call         bool
+	callPriority int
 }
 
 type runningRequest struct {
@@ -128,6 +132,7 @@
 // Update applies one event and returns the resulting effects in order.
 func (g *Gate) Update(event Event, now time.Time) []Effect {
 	g.effects = nil
+	g.stepCallBounds(now)
 	switch e := event.(type) {
 	case ArriveEvent:
 		g.checkStall(now)
@@ -136,6 +141,10 @@
 		g.finish(e, now)
 	case HeadReceivedEvent:
 		g.recordHead(e)
+	case CallsFailedEvent:
+		g.recordCallsFailed(e, now)
+	case CallAnsweredEvent:
+		g.recordCallAnswered(e)
 	case CancelEvent:
 		g.removeAll(func(w waitingRequest, _ int) bool { return w.id == e.ID })
 	case IdleClosedEvent:
@@ -171,10 +180,7 @@
 		_, listed := p.Classes[q.name]
 		unused := !listed && q.length == 0 && q.running == 0
 		if unused {
-			delete(g.queuesByKey, queueKey{
-				class: q.name,
-				late:  q.late,
-			})
+			delete(g.queuesByKey, q.queueKey())
 		}
 		return unused
 	})
@@ -203,28 +209,24 @@
 
 // queue returns the queue of a class, for requests that can meet their target or for late ones. Queues are created with the
 // first request of their class, because a policy may name thousands of classes that a gate never receives.
-func (g *Gate) queue(name ibisid.ClassName, late bool) *classQueue {
-	key := queueKey{
-		class: name,
-		late:  late,
-	}
+func (g *Gate) queue(key queueKey) *classQueue {
 	if q := g.queuesByKey[key]; q != nil {
 		return q
 	}
 	// Creating both queues together keeps the list of queues unchanged while dispatch iterates over it. One of them may exist
 	// already.
 	for _, otherLate := range []bool{false, true} {
-		otherKey := queueKey{
-			class: name,
-			late:  otherLate,
-		}
+		otherKey := key
+		otherKey.late = otherLate
 		if g.queuesByKey[otherKey] != nil {
 			continue
 		}
 		q := &classQueue{
-			name:   name,
-			late:   otherLate,
-			policy: g.config.Policy.Classes[name],
+			name:         key.class,
+			late:         otherLate,
+			call:         key.call,
+			callPriority: key.callPriority,
+			policy:       g.config.Policy.Classes[key.class],
 		}
 		g.queuesByKey[otherKey] = q
 		g.queues = append(g.queues, q)
@@ -236,15 +238,17 @@
 func (g *Gate) sortQueues() {
 	slices.SortFunc(g.queues, func(a, b *classQueue) int {
 		return cmp.Or(
-			cmp.Compare(b.policy.Priority, a.policy.Priority),
-			compareLate(a.late, b.late),
+			cmp.Compare(b.priority(), a.priority()),
+			compareBool(!a.call, !b.call),
+			compareBool(a.late, b.late),
 			cmp.Compare(a.name, b.name),
+			cmp.Compare(b.callPriority, a.callPriority),
 		)
 	})
 }
 
-// compareLate orders queues of requests that can meet their target before queues of late requests.
-func compareLate(a, b bool) int {
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
@@ -293,6 +297,7 @@
 		g.openConnections--
 	}
 	g.timing(r.queue.name).add(now.Sub(r.admittedAt), e, now)
+	g.recordCallRun(r.queue.name, r.admittedAt)
 	if g.limit.addSample(r.queue.name, e, r.admittedAt, busy, now) {
 		g.handleSlowServer(now)
 	}
--- a/internal/request/ibisadmit/priority_test.go
+++ b/internal/request/ibisadmit/priority_test.go
@@ -77,3 +77,27 @@
 		Expect(b.refused).To(BeEmpty())
 	})
 })
+
+// Guards against runs that hold their slot at the caller's server while their calls wait behind work that has not begun.
+var _ = DescribeTable("A gate with a free slot for one of a call and two callers' requests",
+	func(callPriority int, want string) {
+		b := newHarness(ibisadmit.Config{
+			Algorithm: ibisadmit.AlgorithmFixed,
+			Policy: ibisadmit.Policy{Classes: map[ibisid.ClassName]ibisadmit.ClassPolicy{
+				"payment": {Priority: 1}, "lookup": {Priority: 0}, "read": {Priority: 0},
+			}},
+		})
+		for range 10 {
+			b.arrive("", "lookup", 0)
+		}
+		ids := map[ibisadmit.RequestID]string{b.arrive("", "payment", 0): "payment", b.arrive("", "lookup", 0): "lookup"}
+		b.next++
+		b.update(ibisadmit.ArriveEvent{ID: b.next, Class: "read", Call: true, CallPriority: callPriority})
+		ids[b.next] = "call"
+		b.update(ibisadmit.FinishEvent{ID: 1})
+		Expect(ids[b.admitted[10]]).To(Equal(want))
+	},
+	Entry("a call for a lookup", 0, "payment"),
+	Entry("a call for a payment", 1, "call"),
+	Entry("a call for more urgent work", 2, "call"),
+)
--- a/internal/request/ibisadmit/queue.go
+++ b/internal/request/ibisadmit/queue.go
@@ -28,13 +28,34 @@
 // classQueue applies start-time fair queueing to the tenants of one class. It holds either the requests that can still meet
 // their target or the late ones.
 type classQueue struct {
-	name        ibisid.ClassName
-	late        bool
-	policy      ClassPolicy
-	tenants     []*tenantQueue
-	virtualTime float64
-	length      int
-	running     int
+	name ibisid.ClassName
+	late bool
+	// call reports that the queue holds calls, and callPriority is the priority of the runs that they serve.
+	call         bool
+	callPriority int
+	policy       ClassPolicy
+	tenants      []*tenantQueue
+	virtualTime  float64
+	length       int
+	running      int
+}
+
+func (q *classQueue) queueKey() queueKey {
+	return queueKey{
+		class:        q.name,
+		late:         q.late,
+		call:         q.call,
+		callPriority: q.callPriority,
+	}
+}
+
+// priority returns the priority of the queue's requests: that of their class or, for calls, that of their runs if it is the greater
+// one.
+func (q *classQueue) priority() int {
+	if q.call {
+		return max(q.policy.Priority, q.callPriority)
+	}
+	return q.policy.Priority
 }
 
 // push assigns a start tag to a request and appends it to its tenant's queue.
