Gate keeps slots free for urgent classes that can't wait until a longer run ends

Cause: priority orders the queue, but long jobs in every slot end too rarely for calls: with six slots, jobs of 550 ms at 0.8 of capacity and calls of 55 ms (target 200 ms) at 0.3, 0.119 of the calls found no slot within their target.

Change: the number of slots that less urgent runs may hold has the greatest worth of their work less that of urgent requests that come late, from priority, target, deadline, measured rate and slot time. It enters the estimate of the wait. A class without a slot for 3 s gets the next one. Metric and log line.

Equal effects with and without where no more urgent class arrives.

--- a/internal/relay/ibisadmission/admit.go
+++ b/internal/relay/ibisadmission/admit.go
@@ -61,6 +61,7 @@
 	for class := range g.callBounds {
 		g.logCallBound(class)
 	}
+	g.logKeptFree(now)
 	g.scheduleTick()
 	return id, incarnation, answer, ibismessage.Answer{}
 }
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -84,6 +84,9 @@
 	calls      *ibiscalls.Tracker
 	nextCall   ibiscalls.CallID
 	callBounds ibisset.Set[ibisid.ClassName]
+	// keptFree is whether the gate kept slots free at keptFreeAt, as logged last.
+	keptFree   bool
+	keptFreeAt time.Time
 }
 
 // Stats contains the counts of admission decisions since the start, and the current load.
@@ -98,6 +101,8 @@
 	FailedByCalls uint64
 	// RefusedForCalls is the number of requests that were refused because the calls of their runs would fail.
 	RefusedForCalls uint64
+	// KeptFree is the number of slots that are kept free for urgent classes.
+	KeptFree int
 	// Running is the number of requests that the backend server processes.
 	Running int
 	// Waiting is the number of requests that wait for a slot.
@@ -165,6 +170,7 @@
 	s.RateLimit = g.notice.Or(ibismessage.ServerNotice{}).RateLimit.Or(0)
 	if g.gate != nil {
 		s.Running = g.gate.Running()
+		s.KeptFree = g.gate.KeptFree(g.clock.Now())
 	}
 	return s
 }
--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -25,6 +25,7 @@
 		key.callPriority = e.CallPriority
 	}
 	q := g.queue(key)
+	q.demand.add(e, now)
 	tenant := g.config.Policy.Tenants[e.Tenant]
 	wait := g.estimateWait(q, q.ahead(e.Tenant, tenant.weight()), now)
 	if g.wouldMiss(q, e.Deadline, wait, now) {
@@ -52,6 +53,9 @@
 		g.refuse(e.ID, ReasonCalls, delay)
 		return
 	}
+	if q.length == 0 {
+		q.waitingSince = now
+	}
 	q.push(waitingRequest{
 		id:       e.ID,
 		tenant:   e.Tenant,
@@ -125,7 +129,7 @@
 		}
 		heldEqual += other.running
 		if other == q {
-			slots := max(1, min(limit-heldAbove, g.classBound(q, limit)))
+			slots := max(1, min(limit-heldAbove, g.classBound(q, limit), g.runBound(q, limit, now)))
 			wait += float64(ahead+1) * g.timing(q.name).slotTime.Value() / float64(slots)
 			break
 		}
--- a/internal/request/ibisadmit/dispatch.go
+++ b/internal/request/ibisadmit/dispatch.go
@@ -5,6 +5,7 @@
 // dispatch admits waiting requests while the limit has room, class by class in order of priority. A request that can
 // no longer meet its deadline is refused, and one that can no longer meet its target moves to the queue of late requests.
 func (g *Gate) dispatch(now time.Time) {
+	g.dispatchStarving(now)
 	for _, q := range g.queues {
 		for q.length > 0 && g.hasRoom(q, now) {
 			w, _ := q.pop()
@@ -22,12 +23,30 @@
 	}
 }
 
+// dispatchStarving admits one request of each class that starves, if a slot is free.
+func (g *Gate) dispatchStarving(now time.Time) {
+	for _, q := range g.queues {
+		if !g.starves(q, now) || !g.hasSlot(q, now) {
+			continue
+		}
+		for q.length > 0 {
+			w, _ := q.pop()
+			if !g.wouldMiss(q, w.deadline, 0, now) {
+				g.admit(q, w, now)
+				break
+			}
+			g.refuse(w.id, ReasonDeadline, minRetryAfter)
+		}
+	}
+}
+
 func (g *Gate) admit(q *classQueue, w waitingRequest, now time.Time) {
 	needsConnection := g.openConnections == len(g.running)
 	if needsConnection {
 		g.openConnections++
 	}
 	q.running++
+	g.timing(q.name).lastAdmitted = now
 	g.coldRate.recordAdmission(now)
 	g.serverRate.recordAdmission(now)
 	g.running[w.id] = runningRequest{
@@ -40,9 +59,14 @@
 	})
 }
 
-// hasRoom reports whether the limit, the share of the queue's class, the rate of a cold server and the server's own rate limit
-// allow another admission.
+// hasRoom reports whether there is a slot for another admission that is not kept free for more urgent classes.
 func (g *Gate) hasRoom(q *classQueue, now time.Time) bool {
+	return g.hasSlot(q, now) && !g.keepsHeadroom(q, g.limit.bound(now), now)
+}
+
+// hasSlot reports whether the limit, the share of the queue's class, the rate of a cold server and the server's own rate limit
+// allow another admission.
+func (g *Gate) hasSlot(q *classQueue, now time.Time) bool {
 	if g.coldRate.full(now) || g.serverRate.full(now) {
 		return false
 	}
@@ -72,6 +96,9 @@
 		g.refuse(w.id, ReasonTarget, max(wait, minRetryAfter))
 		return
 	}
+	if late.length == 0 {
+		late.waitingSince = now
+	}
 	late.push(w, weight)
 }
 
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -38,6 +38,8 @@
 	coldRate        coldRateLimit
 	serverRate      serverRate
 	callBounds      map[ibisid.ClassName]*callBound
+	// withoutHeadroom disables headroom and the slots for classes that starve, for tests that compare the decisions.
+	withoutHeadroom bool
 	effects         []Effect
 }
 
@@ -325,6 +327,8 @@
 	slotTime ibislatency.Mean
 	headTime ibislatency.Mean
 	lastEnd  time.Time
+	// lastAdmitted is when a request of the class was last admitted.
+	lastAdmitted time.Time
 }
 
 // add records a request that ended. A request that failed without a head counts as if the head had arrived at the end.
--- a/internal/request/ibisadmit/overload_test.go
+++ b/internal/request/ibisadmit/overload_test.go
@@ -23,6 +23,8 @@
 	counts  map[ibisid.ClassName]*replayCount
 	// callsFail reports whether the calls of a run that makes calls fail.
 	callsFail func() bool
+	// observe is called with each effect of the gate.
+	observe func(ibisadmit.Effect)
 }
 
 type replayEntry struct {
@@ -66,6 +68,7 @@
 		waiting:   make(map[ibisadmit.RequestID]*replayRequest),
 		counts:    make(map[ibisid.ClassName]*replayCount),
 		callsFail: func() bool { return false },
+		observe:   func(ibisadmit.Effect) {},
 	}
 	r.every(ibisadmit.TickPeriod, func() { r.update(ibisadmit.TickEvent{}) })
 	return r
@@ -107,6 +110,7 @@
 
 func (r *replay) update(event ibisadmit.Event) {
 	for _, effect := range r.Update(event, r.now) {
+		r.observe(effect)
 		switch e := effect.(type) {
 		case ibisadmit.AdmitEffect:
 			r.begin(e.ID)
@@ -229,3 +233,83 @@
 		Expect(r.phase(10*time.Second, "lookup").refused).To(BeZero())
 	})
 })
+
+var _ = Describe("A gate with long jobs and urgent short calls", func() {
+	job := replayClass{name: "job", perSecond: 0.8 * 6 / 0.55, work: 550 * time.Millisecond, target: 3 * time.Second, deadline: 4 * time.Second}
+	call := replayClass{name: "call", perSecond: 0.3 * 6 / 0.055, work: 55 * time.Millisecond, target: 200 * time.Millisecond, deadline: 600 * time.Millisecond}
+	priorities := map[ibisid.ClassName]int{"job": -2, "call": 0}
+
+	DescribeTable("gives calls a slot within their target and long jobs what is left, at any rate of the calls",
+		func(scale, callsInTime, jobs float64) {
+			c := call
+			c.perSecond *= scale
+			var calls, done replayCount
+			for seed := range uint64(10) {
+				r := newReplay(seed, 6, priorities)
+				r.arrivals(job)
+				r.arrivals(c)
+				r.runFor(5 * time.Second)
+				a := r.phase(30*time.Second, "call")
+				calls.arrived += a.arrived
+				calls.begunInTime += a.begunInTime
+				done.arrived += r.count("job").arrived
+				done.begun += r.count("job").begun
+			}
+			GinkgoWriter.Println(scale, float64(calls.begunInTime)/float64(calls.arrived), float64(done.begun)/float64(done.arrived))
+			Expect(calls.begunInTime).To(BeNumerically(">=", int(callsInTime*float64(calls.arrived))))
+			Expect(done.begun).To(BeNumerically(">=", int(jobs*float64(done.arrived))))
+		},
+		Entry("few calls, whose loss is less than that of an idle slot", 0.05, 0.9, 0.97),
+		Entry("calls of 0.15 of capacity", 0.5, 0.98, 0.9),
+		Entry("calls of 0.3 of capacity", 1.0, 0.99, 0.7),
+		Entry("calls of 0.6 of capacity", 2.0, 0.99, 0.2),
+	)
+
+	It("keeps no slot free any more soon after the last call", func() {
+		r := newReplay(1, 6, priorities)
+		r.arrivals(job)
+		c := call
+		r.arrivals(c)
+		r.runFor(5 * time.Second)
+		Expect(r.KeptFree(r.now)).To(BeNumerically(">=", 2))
+		r.agenda = slices.DeleteFunc(r.agenda, func(replayEntry) bool { return true })
+		r.now = r.now.Add(20 * time.Second)
+		Expect(r.KeptFree(r.now)).To(BeZero())
+	})
+
+	// Guards against work that no slot is left for as long as more urgent work keeps coming.
+	It("gives a job a slot every few seconds while urgent requests of twice the capacity keep coming", func() {
+		r := newReplay(1, 6, priorities)
+		r.arrivals(job)
+		c := call
+		c.perSecond = 2 * 6 / 0.055
+		r.arrivals(c)
+		r.runFor(5 * time.Second)
+		Expect(r.phase(30*time.Second, "job").begun).To(BeNumerically(">=", 8))
+	})
+
+	DescribeTable("decides as without headroom where no more urgent class arrives",
+		func(priorities map[ibisid.ClassName]int, classes ...replayClass) {
+			for seed := range uint64(5) {
+				effects := [2][]ibisadmit.Effect{}
+				for i := range effects {
+					r := newReplay(seed, 6, priorities)
+					r.observe = func(e ibisadmit.Effect) { effects[i] = append(effects[i], e) }
+					if i == 1 {
+						r.DisableHeadroom()
+					}
+					for _, c := range classes {
+						r.arrivals(c)
+					}
+					r.runFor(20 * time.Second)
+				}
+				Expect(len(effects[0])).To(BeNumerically(">", 100))
+				Expect(effects[0]).To(Equal(effects[1]))
+			}
+		},
+		Entry("classes of equal priority", map[ibisid.ClassName]int{"job": -1, "call": -1}, job, call),
+		Entry("classes without priorities", nil, job, call),
+		Entry("the less urgent class alone", priorities, job),
+		Entry("a less urgent class for whose end urgent requests can wait", map[ibisid.ClassName]int{"job": 0, "call": -2}, job, call),
+	)
+})
--- a/internal/request/ibisadmit/queue.go
+++ b/internal/request/ibisadmit/queue.go
@@ -38,6 +38,12 @@
 	virtualTime  float64
 	length       int
 	running      int
+	// waitingSince is when the queue was last empty.
+	waitingSince time.Time
+	demand       demand
+	// bound is the result of runBound at boundAt for boundLimit slots.
+	bound, boundLimit int
+	boundAt           time.Time
 }
 
 func (q *classQueue) queueKey() queueKey {
