--- a/internal/relay/ibisdispatch/account.go
+++ b/internal/relay/ibisdispatch/account.go
@@ -115,7 +115,9 @@
 	if order.KeyDigest != 0 {
 		order.ConfigVersion = uint64(config.Version())
 	}
-	order.Priority = ibisroute.EffectivePriority(account, p.route)
+	if !p.call {
+		order.Priority = ibisroute.EffectivePriority(account, p.route)
+	}
 	return ibismessage.Answer{}, true
 }
 
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -96,6 +96,7 @@
 	quarantine *ibisquarantine.Ledger
 	verifier   ConfigVerifier
 	quota      Quota
+	calls      Calls
 	shutdown   ibisshutdown.Schedule
 }
 
@@ -334,7 +335,7 @@
 }
 
 // Serve sends a request to a backend server and returns its answer, or an answer with the reason why there is none.
-func (d *Dispatcher) Serve(ctx context.Context, request Request) ibismessage.Answer {
+func (d *Dispatcher) Serve(ctx context.Context, request Request) (answer ibismessage.Answer) {
 	p, refusal, ok := d.plan(request)
 	if refusal.Reason == ibismessage.ReasonNoRoute || refusal.Reason == ibismessage.ReasonUnauthorized {
 		p, refusal, ok = d.planVerified(ctx, request)
@@ -343,12 +344,14 @@
 		d.recordRefusal(request, p, refusal)
 		return refusal
 	}
+	endCall := d.beginCall(request, &p)
+	defer func() { endCall(ctx, answer) }()
 	releaseToken, quotaRefusal, ok := d.takeToken(ctx, p.account, p.route.Target)
 	if !ok {
 		d.recordQuotaRefusal(request, p, quotaRefusal)
 		return quotaRefusal.answer
 	}
-	answer := d.run(ctx, p)
+	answer = d.run(ctx, p)
 	if answer.Outcome == ibisid.OutcomeNotRun {
 		releaseToken()
 	}
--- a/internal/relay/ibisdispatch/log.go
+++ b/internal/relay/ibisdispatch/log.go
@@ -66,6 +66,9 @@
 	if p.account != nil {
 		fields = append(fields, zap.String("account", string(p.account.Name)))
 	}
+	if p.call {
+		fields = append(fields, zap.Bool("call", true))
+	}
 	if slices.ContainsFunc(tries, nodeTry.crashed) {
 		fields = append(fields, zap.Stringer("fingerprint", fingerprintOf(order)))
 	}
--- a/internal/relay/ibisdispatch/plan.go
+++ b/internal/relay/ibisdispatch/plan.go
@@ -99,5 +99,6 @@
 		deadline:  d.boundDeadline(r.Arrived.Add(timeout)),
 		arrived:   r.Arrived,
 		callerAge: callerAge,
+		priority:  ibisroute.EffectivePriority(account, route),
 	}, ibismessage.Answer{}, true
 }
--- a/internal/relay/ibisforward/wire.go
+++ b/internal/relay/ibisforward/wire.go
@@ -29,6 +29,7 @@
 	KeyDigest   uint64             `json:"keyDigest,omitempty"`
 	Config      uint64             `json:"config,omitempty"`
 	Priority    int                `json:"priority,omitempty"`
+	Call        bool               `json:"call,omitempty"`
 	Repeatable  bool               `json:"repeatable,omitempty"`
 	Key         int                `json:"key"`
 	PageVersion uint64             `json:"pageVersion,omitempty"`
@@ -104,6 +105,7 @@
 		KeyDigest:   order.KeyDigest,
 		Config:      order.ConfigVersion,
 		Priority:    order.Priority,
+		Call:        order.Call,
 		Repeatable:  order.Repeatable,
 		Key:         order.Key,
 		PageVersion: order.PageVersion,
@@ -144,6 +146,7 @@
 		Tenant:        h.Tenant,
 		KeyDigest:     h.KeyDigest,
 		Priority:      h.Priority,
+		Call:          h.Call,
 		Repeatable:    h.Repeatable,
 		Key:           h.Key,
 		PageVersion:   h.PageVersion,
--- a/internal/relay/ibismessage/order.go
+++ b/internal/relay/ibismessage/order.go
@@ -44,6 +44,9 @@
 	ConfigVersion uint64
 	// Priority is the rank of the account, or that of the class if there is none, where zero is the highest.
 	Priority int
+	// Call reports that the request serves a run of another backend server; Priority, Target and Deadline are no worse than those of the
+	// run.
+	Call bool
 	// Repeatable reports whether the request may run more than once.
 	Repeatable bool
 	// Key is the caller's key, or NoKey.
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -39,6 +39,9 @@
 	coldRate        coldRateLimit
 	serverRate      serverRate
 	resends         resendBudget
+	callBounds      map[ibisid.ClassName]*callBound
+	// withoutHeadroom disables headroom and the slots for classes that starve, for tests that compare the decisions.
+	withoutHeadroom bool
 	effects         []Effect
 }
 
@@ -46,11 +49,13 @@
 const maxTenantQueues = 64
 
 // queueKey identifies a queue: each class has one for requests that can meet their target and one for late requests, and two more
-// for each priority of tenants.
+// for each priority of tenants and for the calls of runs of each priority.
 type queueKey struct {
-	class    ibisid.ClassName
-	priority ibisset.Option[int]
-	late     bool
+	class          ibisid.ClassName
+	tenantPriority ibisset.Option[int]
+	late           bool
+	call           bool
+	callPriority   int
 }
 
 type runningRequest struct {
@@ -137,6 +142,7 @@
 // Update applies one event and returns the resulting effects in order.
 func (g *Gate) Update(event Event, now time.Time) []Effect {
 	g.effects = nil
+	g.stepCallBounds(now)
 	switch e := event.(type) {
 	case ArriveEvent:
 		g.checkStall(now)
@@ -147,6 +153,10 @@
 		g.reject(e, now)
 	case HeadReceivedEvent:
 		g.recordHead(e)
+	case CallsFailedEvent:
+		g.recordCallsFailed(e, now)
+	case CallAnsweredEvent:
+		g.recordCallAnswered(e)
 	case CancelEvent:
 		g.removeAll(func(w waitingRequest, _ int) bool { return w.id == e.ID })
 	case IdleClosedEvent:
@@ -221,38 +231,31 @@
 	}
 }
 
-// queue returns the queue of a class and a priority of tenants, if there is one, for requests that can meet their target or for late
-// ones. Queues are created with the
-// first request of their class, because a policy may name thousands of classes that a gate never receives.
-func (g *Gate) queue(name ibisid.ClassName, priority ibisset.Option[int], late bool) *classQueue {
-	key := queueKey{
-		class:    name,
-		priority: priority,
-		late:     late,
-	}
+// queue returns the queue with the key. Queues are created with the first request of their class, because a policy may name thousands
+// of classes that a gate never receives.
+func (g *Gate) queue(key queueKey) *classQueue {
 	if q := g.queuesByKey[key]; q != nil {
 		return q
 	}
-	if _, ok := priority.Get(); ok && len(g.queues) >= maxTenantQueues {
+	if _, ok := key.tenantPriority.Get(); ok && len(g.queues) >= maxTenantQueues {
 		g.removeUnused((*classQueue).hasTenantPriority)
 	}
 	// Creating both queues together keeps the list of queues unchanged while dispatch iterates over it. One of them may exist
 	// already.
 	for _, otherLate := range []bool{false, true} {
-		otherKey := queueKey{
-			class:    name,
-			priority: priority,
-			late:     otherLate,
-		}
+		otherKey := key
+		otherKey.late = otherLate
 		if g.queuesByKey[otherKey] != nil {
 			continue
 		}
 		q := &classQueue{
-			name:     name,
-			late:     otherLate,
-			priority: priority,
+			name:           key.class,
+			tenantPriority: key.tenantPriority,
+			late:           otherLate,
+			call:           key.call,
+			callPriority:   key.callPriority,
 		}
-		q.setPolicy(g.config.Policy.Classes[name])
+		q.setPolicy(g.config.Policy.Classes[key.class])
 		g.queuesByKey[otherKey] = q
 		g.queues = append(g.queues, q)
 	}
@@ -263,16 +266,18 @@
 func (g *Gate) sortQueues() {
 	slices.SortFunc(g.queues, func(a, b *classQueue) int {
 		return cmp.Or(
-			cmp.Compare(b.policy.Priority, a.policy.Priority),
+			cmp.Compare(b.priority(), a.priority()),
+			compareBool(!a.call, !b.call),
 			cmp.Compare(b.classPriority, a.classPriority),
-			compareLate(a.late, b.late),
+			compareBool(a.late, b.late),
 			cmp.Compare(a.name, b.name),
+			cmp.Compare(b.callPriority, a.callPriority),
 		)
 	})
 }
 
-// compareLate orders queues of requests that can meet their target before queues of late requests.
-func compareLate(a, b bool) int {
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
@@ -321,6 +326,7 @@
 		g.openConnections--
 	}
 	g.timing(r.queue.name).add(now.Sub(r.admittedAt), e, now)
+	g.recordCallRun(r.queue.name, r.admittedAt)
 	if g.limit.addSample(r.queue.name, e, r.admittedAt, busy, now) {
 		g.handleSlowServer(now)
 	}
@@ -348,6 +354,8 @@
 	slotTime ibislatency.Mean
 	headTime ibislatency.Mean
 	lastEnd  time.Time
+	// lastAdmitted is when a request of the class was last admitted.
+	lastAdmitted time.Time
 }
 
 // add records a request that ended. A request that failed without a head counts as if the head had arrived at the end.
--- a/internal/request/ibisadmit/queue.go
+++ b/internal/request/ibisadmit/queue.go
@@ -31,8 +31,11 @@
 type classQueue struct {
 	name ibisid.ClassName
 	late bool
-	// priority is the priority of the tenants whose requests the queue holds, none for those of the class's priority.
-	priority ibisset.Option[int]
+	// tenantPriority is the priority of the tenants whose requests the queue holds, none for those of the class's priority.
+	tenantPriority ibisset.Option[int]
+	// call reports that the queue holds calls, and callPriority is the priority of the runs that they serve.
+	call         bool
+	callPriority int
 	// policy is that of the class, with the priority of the tenants if they have one, and classPriority is the class's.
 	policy        ClassPolicy
 	classPriority int
@@ -40,29 +43,46 @@
 	virtualTime   float64
 	length        int
 	running       int
+	// waitingSince is when the queue was last empty.
+	waitingSince time.Time
+	demand       demand
+	// bound is the result of runBound at boundAt for boundLimit slots.
+	bound, boundLimit int
+	boundAt           time.Time
 }
 
 func (q *classQueue) key() queueKey {
 	return queueKey{
-		class:    q.name,
-		priority: q.priority,
-		late:     q.late,
+		class:          q.name,
+		tenantPriority: q.tenantPriority,
+		late:           q.late,
+		call:           q.call,
+		callPriority:   q.callPriority,
 	}
 }
 
+// priority returns the priority of the queue's requests: that of their class or tenants or, for calls, that of their runs if it is the
+// greater one.
+func (q *classQueue) priority() int {
+	if q.call {
+		return max(q.policy.Priority, q.callPriority)
+	}
+	return q.policy.Priority
+}
+
 // idle reports whether no request of the queue waits or runs.
 func (q *classQueue) idle() bool { return q.length == 0 && q.running == 0 }
 
 // hasTenantPriority reports whether the queue holds requests of a priority of tenants.
 func (q *classQueue) hasTenantPriority() bool {
-	_, ok := q.priority.Get()
+	_, ok := q.tenantPriority.Get()
 	return ok
 }
 
 // setPolicy applies the policy of the class.
 func (q *classQueue) setPolicy(p ClassPolicy) {
 	q.classPriority = p.Priority
-	p.Priority = q.priority.Or(p.Priority)
+	p.Priority = q.tenantPriority.Or(p.Priority)
 	q.policy = p
 }
 
--- a/internal/request/ibisadmit/resend.go
+++ b/internal/request/ibisadmit/resend.go
@@ -47,7 +47,7 @@
 // the gate leave all but the last token to those: in an overload the budget covers only part of the rejections.
 func (g *Gate) resendReserve(q *classQueue) float64 {
 	for _, other := range g.queues {
-		if other.policy.Priority > q.policy.Priority {
+		if other.priority() > q.priority() {
 			return resendBurst
 		}
 	}
