--- a/internal/relay/ibisadmission/admit.go
+++ b/internal/relay/ibisadmission/admit.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroute"
@@ -56,25 +55,18 @@
 	g.waiting[id] = answer
 	incarnation := g.server.Incarnation
 	g.apply(ibisadmit.ArriveEvent{
-		ID:       id,
-		Tenant:   order.Tenant,
-		Priority: tenantPriority(order),
-		Class:    order.Class,
-		Target:   subtractWait(order.Target, linkWait),
-		Deadline: subtractWait(order.Deadline, linkWait),
+		ID:          id,
+		Tenant:      order.Tenant,
+		HasPriority: order.Tenant != "",
+		Priority:    ClassPolicy(order.Priority).Priority,
+		Class:       order.Class,
+		Target:      subtractWait(order.Target, linkWait),
+		Deadline:    subtractWait(order.Deadline, linkWait),
 	}, now)
 	g.scheduleTick()
 	return id, incarnation, answer, ibismessage.Answer{}
 }
 
-// tenantPriority returns the gate's priority of an order that carries that of its account, none if its class decides.
-func tenantPriority(order ibismessage.Order) ibisset.Option[int] {
-	if order.Tenant == "" {
-		return ibisset.None[int]()
-	}
-	return ibisset.Some(ClassPolicy(order.Priority).Priority)
-}
-
 // checkAccount refuses an order whose account's key has been removed by a newer configuration than the one that it was accepted by,
 // since the order may have waited for long.
 func (g *Guard) checkAccount(order ibismessage.Order) (ibismessage.Answer, bool) {
--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 )
 
 func (g *Gate) arrive(e ArriveEvent, now time.Time) {
@@ -17,7 +19,7 @@
 		g.refuse(e.ID, ReasonSlow, slowRetryAfter)
 		return
 	}
-	q := g.queue(e.Class, e.Priority, false)
+	q := g.queue(e.Class, g.tenantPriority(e), false)
 	tenant := g.config.Policy.Tenants[e.Tenant]
 	wait := g.estimateWait(q, q.ahead(e.Tenant, tenant.weight()), now)
 	if g.wouldMiss(q, e.Deadline, wait, now) {
@@ -25,7 +27,7 @@
 		return
 	}
 	if g.wouldMiss(q, e.Target, wait, now) {
-		q = g.queue(e.Class, e.Priority, true)
+		q = g.queue(e.Class, g.tenantPriority(e), true)
 		wait = g.estimateWait(q, q.ahead(e.Tenant, tenant.weight()), now)
 		if g.shouldRefuseLate(q, e.Deadline, wait, now) {
 			g.refuse(e.ID, ReasonTarget, max(wait, minRetryAfter))
@@ -48,6 +50,14 @@
 	}, tenant.weight())
 }
 
+// tenantPriority returns the priority of a request's tenant, none if it is that of the class or the class decides.
+func (g *Gate) tenantPriority(e ArriveEvent) ibisset.Option[int] {
+	if !e.HasPriority || e.Priority == g.config.Policy.Classes[e.Class].Priority {
+		return ibisset.None[int]()
+	}
+	return ibisset.Some(e.Priority)
+}
+
 // shouldRefuseLate reports whether to refuse a request that will miss its target instead of queueing it. That is so if it
 // would also miss its deadline, or would wait longer than it runs while no class of lower priority can yield slots to it.
 // A request refused at once can still be served elsewhere or later, and the room goes to requests that are not late yet.
--- a/internal/request/ibisadmit/event.go
+++ b/internal/request/ibisadmit/event.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
-	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 )
 
 // RequestID identifies a request within one gate.
@@ -19,8 +18,10 @@
 	ID RequestID
 	// Tenant is the tenant of the request.
 	Tenant ibisid.TenantName
-	// Priority is the priority of the tenant, which takes precedence over that of the class; none if the class decides.
-	Priority ibisset.Option[int]
+	// HasPriority reports that Priority, which is that of the tenant, takes precedence over the priority of the class.
+	HasPriority bool
+	// Priority is the priority of the tenant if HasPriority is set.
+	Priority int
 	// Class is the class of the request.
 	Class ibisid.ClassName
 	// Deadline is the time after which the answer is of no use; zero means none.
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -260,14 +260,15 @@
 		return cmp.Or(
 			cmp.Compare(b.policy.Priority, a.policy.Priority),
 			cmp.Compare(b.classPriority, a.classPriority),
-			compareLate(a.late, b.late),
+			compareBool(a.late, b.late),
 			cmp.Compare(a.name, b.name),
+			compareBool(a.hasTenantPriority(), b.hasTenantPriority()),
 		)
 	})
 }
 
-// compareLate orders queues of requests that can meet their target before queues of late requests.
-func compareLate(a, b bool) int {
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
--- a/internal/request/ibisadmit/tenant_test.go
+++ b/internal/request/ibisadmit/tenant_test.go
@@ -19,8 +19,9 @@
 	arrive := func(tenant ibisid.TenantName, class ibisid.ClassName, priority ibisset.Option[int]) ibisadmit.RequestID {
 		b.next++
 		tenantOf[b.next] = tenant
+		own, has := priority.Get()
 		b.update(ibisadmit.ArriveEvent{
-			ID: b.next, Tenant: tenant, Priority: priority, Class: class,
+			ID: b.next, Tenant: tenant, HasPriority: has, Priority: own, Class: class,
 			Target: b.now.Add(time.Second), Deadline: b.now.Add(3 * time.Second),
 		})
 		return b.next
@@ -50,6 +51,12 @@
 		})
 	})
 
+	It("keeps tenants of the class's priority in the queue of the class", func() {
+		arrive("", "lookup", ibisset.None[int]())
+		arrive("kandy", "lookup", ibisset.Some(-2))
+		Expect(b.QueueCount()).To(Equal(2), "one for requests that are in time and one for late ones")
+	})
+
 	It("serves requests by the priority of their tenant, then by that of their class, and removes the queues", func() {
 		var running []ibisadmit.RequestID
 		for range 10 {
