--- a/internal/request/ibisquota/designs_test.go
+++ b/internal/request/ibisquota/designs_test.go
@@ -149,8 +149,8 @@
 
 // newDelegated returns a deployment. Of a large one, only the nodes that own a share or lend and 60 others run: the rest sends
 // nothing without demand.
-func newDelegated(count int) delegated {
-	w := newWorld(1, Account{Name: "large", Rate: designRate, Burst: designBurst})
+func newDelegated(count int, others ...Account) delegated {
+	w := newWorld(1, append([]Account{{Name: "large", Rate: designRate, Burst: designBurst}}, others...)...)
 	var all []Member
 	for i := range count {
 		all = append(all, Member{Node: ibisid.NodeName(fmt.Sprintf("node-%d", i)), Incarnation: 1})
@@ -254,6 +254,28 @@
 	}
 }
 
+// BenchmarkIdleCost measures what the nodes send without any request, with 74 accounts.
+func BenchmarkIdleCost(b *testing.B) {
+	var others []Account
+	for i := range 73 {
+		others = append(others, Account{Name: ibisid.TenantName(fmt.Sprint("account-", i)), Rate: 3, Burst: 3})
+	}
+	for _, count := range []int{6, 63, 195, 17_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				d := newDelegated(count, others...)
+				messages, bytes := d.traffic()
+				d.advance(10 * time.Second)
+				afterMessages, afterBytes := d.traffic()
+				b.ReportMetric(float64(afterMessages-messages)/10/float64(count), "messages/node/s")
+				b.ReportMetric(float64(afterBytes-bytes)/10/float64(count), "B/node/s")
+				// Each of the lenders gets an eighth of the messages and sends as many.
+				b.ReportMetric(float64(afterBytes-bytes)/10/maxLenders, "B/lender/s")
+			}
+		})
+	}
+}
+
 // BenchmarkMemory measures the memory of a node's state per account.
 func BenchmarkMemory(b *testing.B) {
 	for b.Loop() {
--- a/internal/request/ibisquota/rules_test.go
+++ b/internal/request/ibisquota/rules_test.go
@@ -269,3 +269,14 @@
 		t.Errorf("the present run is not used: %v", failed)
 	}
 }
+
+// TestALenderHasTheWholeLimitAtMost guards against a lender that is given more than all shares, by nodes that count different members.
+func TestALenderHasTheWholeLimitAtMost(t *testing.T) {
+	q, now := lenderWith(2)
+	for _, from := range []ibisid.NodeName{"other", "third"} {
+		q.Answer(Request{From: from, Run: 1, Delegation: &Delegation{Seq: 1, LenderRun: 7, Ticket: now.UnixNano(), Share: 0.5, Slots: ^Slots(0)}}, now)
+	}
+	if share := q.Share("x"); share != 1 {
+		t.Errorf("the lender has a share of %g", share)
+	}
+}
