--- a/internal/request/ibisquota/rules_test.go
+++ b/internal/request/ibisquota/rules_test.go
@@ -43,21 +43,21 @@
 		after time.Duration
 		share float64
 	}{
-		{"a fresh one", []sent{{1, 1, 7, time.Second, time.Second, 0.5, all}}, 0, 0.5},
-		{"one that arrives late counts from when it was sent", []sent{{1, 1, 7, 3 * time.Second, 0, 0.5, all}}, 1100 * time.Millisecond, 0},
-		{"one that arrives after its term", []sent{{1, 1, 7, 5 * time.Second, 0, 0.5, all}}, 0, 0},
-		{"one for an earlier run of the lender", []sent{{1, 1, 6, time.Second, time.Second, 0.5, all}}, 0, 0},
-		{"one with a ticket of a time to come", []sent{{1, 1, 7, -time.Second, 0, 0.5, all}}, 0, 0},
-		{"an older one that arrives after its withdrawal", []sent{{1, 2, 7, 0, 0, 0.5, 0}, {1, 1, 7, 0, 0, 0.5, all}}, 0, 0},
-		{"an older one that arrives when its withdrawal has ended", []sent{{1, 2, 7, 5 * time.Second, 0, 0.5, 0}, {1, 1, 7, 0, 0, 0.5, all}}, 200 * time.Millisecond, 0},
-		{"one of an earlier run of the sender", []sent{{2, 1, 7, 0, 0, 0.5, 0}, {1, 9, 7, 0, 0, 0.5, all}}, 0, 0},
-		{"one of a sender that counts fewer members", []sent{{1, 1, 7, 0, 0, 1, all}}, 0, 0.5},
+		{"a fresh one", []sent{{1, 1, 7, time.Second, time.Second, 0.25, all}}, 0, 0.25},
+		{"one that arrives late counts from when it was sent", []sent{{1, 1, 7, 3 * time.Second, 0, 0.25, all}}, 1100 * time.Millisecond, 0},
+		{"one that arrives after its term", []sent{{1, 1, 7, 5 * time.Second, 0, 0.25, all}}, 0, 0},
+		{"one for an earlier run of the lender", []sent{{1, 1, 6, time.Second, time.Second, 0.25, all}}, 0, 0},
+		{"one with a ticket of a time to come", []sent{{1, 1, 7, -time.Second, 0, 0.25, all}}, 0, 0},
+		{"an older one that arrives after its withdrawal", []sent{{1, 2, 7, 0, 0, 0.25, 0}, {1, 1, 7, 0, 0, 0.25, all}}, 0, 0},
+		{"an older one that arrives when its withdrawal has ended", []sent{{1, 2, 7, 5 * time.Second, 0, 0.25, 0}, {1, 1, 7, 0, 0, 0.25, all}}, 200 * time.Millisecond, 0},
+		{"one of an earlier run of the sender", []sent{{2, 1, 7, 0, 0, 0.25, 0}, {1, 9, 7, 0, 0, 0.25, all}}, 0, 0},
+		{"one of a sender that counts fewer members", []sent{{1, 1, 7, 0, 0, 0.5, all}}, 0, 0.25},
 		{"one with a negative share", []sent{{1, 1, 7, 0, 0, -1, all}}, 0, 0},
-		{"one beyond its term", []sent{{1, 1, 7, 0, 0, 0.5, all}}, 4 * time.Second, 0},
+		{"one beyond its term", []sent{{1, 1, 7, 0, 0, 0.25, all}}, 4 * time.Second, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			q, now := lenderWith(2)
+			q, now := lenderWith(4)
 			own := q.Share("x")
 			for _, s := range c.sent {
 				q.Answer(Request{From: "other", Run: ibisid.Incarnation(s.run), Delegation: &Delegation{
