ibisquota: tokens are asked ahead from four requests a second on

Cause: with the least of two tokens, a node asked ahead only from eight requests a second of an account on; below that each request waited for a round trip, which a starved machine makes longer than a tenth of a short target.

--- a/internal/relay/ibisquotadriver/driver_test.go
+++ b/internal/relay/ibisquotadriver/driver_test.go
@@ -96,7 +96,8 @@
 	}
 }
 
-// ask sends requests of the account to a driver at once, at a fixed fake time, and returns how many may run; refusals are the causes of the others.
+// ask sends requests of the account to a driver at once, at a fixed fake time, and returns how many may run and how many are beyond the
+// limit.
 func (d *deployment) ask(driver int, account *ibisroute.Account, count int) (ran int, limited int) {
 	var mu sync.Mutex
 	var group sync.WaitGroup
@@ -135,7 +136,7 @@
 		d.run(12*time.Second, none)
 		total := func(phase string, duration time.Duration) []int {
 			served := make([]int, len(d.drivers))
-			d.run(duration, func(step int) {
+			d.run(duration, func(int) {
 				for i := range d.drivers {
 					ran, _ := d.ask(i, account, 6)
 					served[i] += ran
--- a/internal/request/ibisquota/borrower.go
+++ b/internal/request/ibisquota/borrower.go
@@ -237,11 +237,10 @@
 
 // ahead returns the number of tokens to ask for ahead.
 func (b *borrower) ahead() int {
-	ahead := int(min(b.demand*aheadTime.Seconds(), maxAhead))
-	if ahead < minAhead {
+	if b.demand < minAheadDemand {
 		return 0
 	}
-	return ahead
+	return max(1, int(min(b.demand*aheadTime.Seconds(), maxAhead)))
 }
 
 // shouldAskAhead reports whether the tokens are about to run out.
--- a/internal/request/ibisquota/config.go
+++ b/internal/request/ibisquota/config.go
@@ -53,8 +53,9 @@
 	// aheadTime is the demand, as time, for which tokens are asked ahead, and refillTime that below which they are.
 	aheadTime  = 250 * time.Millisecond
 	refillTime = 100 * time.Millisecond
-	// minAhead is the fewest tokens that are asked ahead: tokens of accounts with little demand would expire.
-	minAhead = 2
+	// minAheadDemand is the demand in requests per second from which tokens are asked ahead. At two requests in the loan term,
+	// one of seven tokens expires; below that too many would.
+	minAheadDemand = 4
 	// aheadDivisor is the divisor of what a bucket has left to lend ahead: the rest is for nodes with requests that wait.
 	aheadDivisor = 4
 	// maxAhead bounds a request for tokens ahead.
