--- a/internal/relay/ibisdispatch/quota.go
+++ b/internal/relay/ibisdispatch/quota.go
@@ -35,8 +35,8 @@
 	d.quota = quota
 }
 
-// quotaWaitDivisor bounds the wait for a token to a part of the request's target.
-const quotaWaitDivisor = 10
+// quotaWaitDivisor bounds the wait for a token to a part of the request's target: most requests then still run in time.
+const quotaWaitDivisor = 4
 
 // quotaRefusal is the answer to a request for which there is no token, with what the quota says about it.
 type quotaRefusal struct {
