--- a/internal/relay/ibisconnections/conn.go
+++ b/internal/relay/ibisconnections/conn.go
@@ -142,6 +142,21 @@
 	}
 }
 
+// HasPeerClosed reports whether the peer has closed the connection or its sending side, also if bytes before that are unread.
+func (c *conn) HasPeerClosed() bool {
+	if c.raw == nil {
+		return false
+	}
+	closed := false
+	// Control, unlike Read, does not wait for a concurrent read of the connection.
+	err := c.raw.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(state, 0)
+		closed = err == nil && n > 0
+	})
+	return err != nil || closed
+}
+
 func (c *conn) awaitRequest(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -151,6 +166,15 @@
 	}
 }
 
+func (c *conn) awaitHeader(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseClosed {
+		c.phase = phaseHeader
+		c.since = now
+	}
+}
+
 func (c *conn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/relay/ibisconnections/connections.go
+++ b/internal/relay/ibisconnections/connections.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// AwaitHeader records that a connection, whose last request has been answered, waits for the rest of a head.
+func (c *Connections) AwaitHeader(nc net.Conn) {
+	if tracked, ok := nc.(*conn); ok {
+		tracked.awaitHeader(c.clock.Now())
+	}
+}
+
 // BeginRequest records that the headers of a connection's request are complete; from then on no limit applies to it. It reports
 // false if the connection is closed, so that the request must not run.
 func (c *Connections) BeginRequest(nc net.Conn) bool {
