--- a/internal/relay/ibisconnections/conn.go
+++ b/internal/relay/ibisconnections/conn.go
@@ -149,11 +149,7 @@
 	}
 	closed := false
 	// Control, unlike Read, does not wait for a concurrent read of the connection.
-	err := c.raw.Control(func(fd uintptr) {
-		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(state, 0)
-		closed = err == nil && n > 0
-	})
+	err := c.raw.Control(func(fd uintptr) { closed = hasPeerClosed(fd) })
 	return err != nil || closed
 }
 
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -126,6 +126,16 @@
 	return d.config
 }
 
+// Repeatable reports whether the configuration has a route for the host and path, and requests of it may be repeated.
+func (d *Dispatcher) Repeatable(host, path string) bool {
+	config := d.Config()
+	if config == nil {
+		return false
+	}
+	route, ok := config.Match(host, path)
+	return ok && route.Kind.Repeatable()
+}
+
 // ConfigSince returns when the configuration in force was set, the zero time before the first SetConfig.
 func (d *Dispatcher) ConfigSince() time.Time {
 	d.mu.Lock()
--- a/internal/relay/ibisdispatch/request.go
+++ b/internal/relay/ibisdispatch/request.go
@@ -35,7 +35,7 @@
 	CallerTimeout time.Duration
 	// Key is the caller's key, or ibismessage.NoKey.
 	Key int
-	// Arrived is when the request's headers were read.
+	// Arrived is when the request's headers had arrived.
 	Arrived time.Time
 }
 
--- a/internal/relay/ibispipeline/conn.go
+++ b/internal/relay/ibispipeline/conn.go
@@ -129,8 +129,11 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	s := c.socket
 	s.mu.Lock()
-	c.wrote = true
 	if !s.split.Load() {
+		if !c.wrote {
+			c.wrote = true
+			s.changed.Broadcast()
+		}
 		s.mu.Unlock()
 		return s.inner.Write(p)
 	}
--- a/internal/relay/ibispipeline/socket.go
+++ b/internal/relay/ibispipeline/socket.go
@@ -17,9 +17,6 @@
 	maxHeldBytes = 16 << 10
 	// readBytes is how much is read of a split socket at once.
 	readBytes = 4 << 10
-	// answerEndDelay is how long the end of an answer of which bytes were written is waited for before the next request counts as
-	// pipelined: a caller that waits for its answers may have the last bytes before http.Server has ended the request.
-	answerEndDelay = time.Millisecond
 	// lingerTime is how long a closed socket is read on. Closing it with unread bytes would reset it, and the reset may destroy
 	// answers before the caller reads them. http.Server waits for the same time.
 	lingerTime = 500 * time.Millisecond
@@ -66,7 +63,7 @@
 
 	// opaque means that the ends of requests aren't known any more, so that the socket is never split.
 	opaque bool
-	// partial holds the begin of a head that arrives in pieces.
+	// partial holds the begin of a head that arrives in pieces; its memory is kept for the next one.
 	partial []byte
 	// single is whether the request is other than GET or HEAD without a body, and unreadBody the length of the rest of its body.
 	single     bool
@@ -179,7 +176,7 @@
 			return len(p)
 		}
 		before := len(b) - len(p)
-		s.partial = nil
+		s.partial = s.partial[:0]
 		s.single = h.kind == kindSingle
 		s.unreadBody = h.bodyBytes
 		headBytes := h.bytes - before
@@ -226,23 +223,16 @@
 	return true
 }
 
-// answerEnds reports whether http.Server ends the running request, and waits for answerEndDelay if bytes of its answer were written.
+// answerEnds reports whether http.Server ends the running request. If bytes of its answer were written, they may have been the last,
+// and the caller may have waited for them: then it waits until http.Server ends the request or writes more.
 func (s *socket) answerEnds() bool {
-	if s.primary.readAborted || !s.primary.wrote {
-		return s.primary.readAborted
-	}
-	expired := false
-	timer := time.AfterFunc(answerEndDelay, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		expired = true
-		s.changed.Broadcast()
-	})
-	defer timer.Stop()
-	for !s.primary.readAborted && !s.primary.gone && !expired {
+	running := s.primary
+	wait := running.wrote
+	running.wrote = false
+	for wait && !running.wrote && !running.readAborted && !running.gone {
 		s.changed.Wait()
 	}
-	return s.primary.readAborted || s.primary.gone
+	return running.readAborted || running.gone
 }
 
 // pump reads a split socket until it ends.
