--- a/internal/measure/ibissoak/caller.go
+++ b/internal/measure/ibissoak/caller.go
@@ -1,6 +1,7 @@
 package ibissoak
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -22,6 +23,9 @@
 	callerPause    = 20 * time.Millisecond
 	// finalSlack is how long past its patience a caller waits for a final answer.
 	finalSlack = time.Second
+	// pipelineShare is how often a caller pipelines requests after one, and maxPipelined how many at most.
+	pipelineShare = 0.1
+	maxPipelined  = 10
 )
 
 // tally counts how callers' requests ended.
@@ -93,6 +97,8 @@
 	index  int
 	random *rand.Rand
 	client *http.Client
+	// pipelineRandom draws what is pipelined, apart from random so that a seed draws the other requests as before.
+	pipelineRandom *rand.Rand
 }
 
 func newCaller(s *soak, n *node, index int) *caller {
@@ -101,6 +107,8 @@
 		node:   n,
 		index:  index,
 		random: rand.New(rand.NewPCG(s.config.Seed, uint64(index)+100)),
+
+		pipelineRandom: rand.New(rand.NewPCG(s.config.Seed, uint64(index)+10_000)),
 		client: &http.Client{
 			Transport: &http.Transport{
 				DisableCompression: true,
@@ -112,6 +120,9 @@
 func (c *caller) run(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
 		c.ask(ctx, fmt.Sprintf("c%d-%d", c.index, i))
+		if c.pipelineRandom.Float64() < pipelineShare {
+			c.pipeline(ctx, fmt.Sprintf("c%d-%d-p", c.index, i))
+		}
 		time.Sleep(time.Duration(c.random.Int64N(int64(callerPause))))
 	}
 }
@@ -153,6 +164,63 @@
 	}
 }
 
+// pipeline sends several requests on one connection before it reads the first answer, and checks the answers.
+func (c *caller) pipeline(ctx context.Context, id string) {
+	dialer := net.Dialer{
+		Timeout: callerPatience,
+	}
+	conn, err := dialer.DialContext(ctx, "tcp4", c.node.address(portCallers))
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(callerPatience + finalSlack))
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	var text bytes.Buffer
+	sent := make([]int, 2+c.pipelineRandom.IntN(maxPipelined-1))
+	idOf := func(i int) string { return fmt.Sprintf("%s%d", id, i) }
+	for i := range sent {
+		method, path, length := http.MethodGet, "/look/", ""
+		if c.pipelineRandom.Float64() < 0.15 {
+			sent[i] = c.pipelineRandom.IntN(4000) + 1
+			method, path, length = http.MethodPost, "/order/", fmt.Sprintf("Content-Length: %d\r\n", sent[i])
+		}
+		if c.pipelineRandom.Float64() < 0.5 {
+			path = "/key" + path
+		}
+		fmt.Fprintf(&text, "%s %sx HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: %s\r\nShard-Key: %d\r\nTime-Remaining-Ms: %d\r\n%s\r\n%s",
+			method, path, idOf(i), c.pipelineRandom.IntN(1<<16), callerPatience.Milliseconds(), length, bytes.Repeat([]byte("o"), sent[i]))
+	}
+	if _, err := conn.Write(text.Bytes()); err != nil {
+		c.soak.tally().add(0, err)
+		return
+	}
+	reader := bufio.NewReader(conn)
+	for i := range sent {
+		response, err := http.ReadResponse(reader, nil)
+		var body []byte
+		if err == nil {
+			body, err = io.ReadAll(response.Body)
+		}
+		if err != nil {
+			c.soak.tally().add(0, err)
+			return
+		}
+		c.soak.tally().add(response.StatusCode, nil)
+		c.check(idOf(i), response, body, sent[i])
+		if !response.Close {
+			continue
+		}
+		for later := i + 1; later < len(sent); later++ {
+			if c.soak.ledger.Runs(idOf(later)) > 0 {
+				c.soak.ledger.Report("request %s ran, though the answer to %s had announced the end of their connection", idOf(later), idOf(i))
+			}
+		}
+		return
+	}
+}
+
 // overdue reports a request that got no final answer though nothing held its node up.
 func (c *caller) overdue(ctx context.Context, id string, began time.Time, err error) {
 	if !c.soak.config.PromisesOnly && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) && !c.soak.disturbed(c.node, began) {
