ibispipeline: tests for rules that no test noticed

Cause: of twelve guards removed one by one, five were noticed by no test: the end of passing on at a stop, the reading limit, the wait of requests other than reads, the bound of buffered answers, the wait for the end of an answer.

Change: tests for each. The handler asks for its turn for every request, also where the connection is alone in any case.

--- a/internal/relay/ibispipeline/fuzz_test.go
+++ b/internal/relay/ibispipeline/fuzz_test.go
@@ -102,8 +102,10 @@
 	var kind rune
 	var number, size, pause int
 	_, err := fmt.Sscanf(r.URL.Path, "/%c/%d/%d/%d", &kind, &number, &size, &pause)
-	alone := err != nil || kind == 'x' || r.Method != http.MethodGet && r.Method != http.MethodHead
-	if conn := connOf(r); conn != nil && conn.Admit(!alone) != nil {
+	isRead := r.Method == http.MethodGet || r.Method == http.MethodHead
+	alone := err != nil || kind == 'x' || !isRead
+	// Others than reads are alone without the handler's help.
+	if conn := connOf(r); conn != nil && isRead && conn.Admit(!alone) != nil {
 		panic(http.ErrAbortHandler)
 	}
 	h.begin(number, alone, r.Method+" "+r.RequestURI)
@@ -269,6 +271,10 @@
 		if open, held := server.connections.CloseIdle(), server.pipeline.Stats().HeldBytes; open != 0 || held != 0 || server.budget.reserved.Load() != 0 {
 			t.Errorf("%d connections are open, %d bytes are held, %d reserved", open, held, server.budget.reserved.Load())
 		}
+		// The held requests and the buffered answers.
+		if most := server.budget.most.Load(); most > 16<<10+3000 {
+			t.Errorf("%d bytes were held", most)
+		}
 		handler.mu.Lock()
 		defer handler.mu.Unlock()
 		if len(handler.violated) > 0 {
--- a/internal/relay/ibispipeline/pipeline_test.go
+++ b/internal/relay/ibispipeline/pipeline_test.go
@@ -36,8 +36,8 @@
 
 // budget grants up to its limit, which is negative where there is none.
 type budget struct {
-	limit    int64
-	reserved atomic.Int64
+	limit          int64
+	reserved, most atomic.Int64
 }
 
 func (b *budget) Reserve(bytes int) bool {
@@ -45,7 +45,12 @@
 		b.reserved.Add(-int64(bytes))
 		return false
 	}
-	return true
+	for now := b.reserved.Load(); ; {
+		most := b.most.Load()
+		if now <= most || b.most.CompareAndSwap(most, now) {
+			return true
+		}
+	}
 }
 
 func (b *budget) Release(bytes int) { b.reserved.Add(-int64(bytes)) }
@@ -243,7 +248,8 @@
 		}
 		server := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			conn := connOf(r)
-			if conn.Admit(r.Method == http.MethodGet && !strings.HasPrefix(r.URL.Path, "/x")) != nil {
+			// Others than reads are alone without the handler's help.
+			if r.Method == http.MethodGet && conn.Admit(!strings.HasPrefix(r.URL.Path, "/x")) != nil {
 				panic(http.ErrAbortHandler)
 			}
 			mu.Lock()
@@ -302,9 +308,14 @@
 		Eventually(running).Should(HaveLen(3))
 		end("/b")
 		stopping.Store(true)
-		end("/a", "/c", "/d", "/e")
-		got, last := paths(bufio.NewReader(conn), 9)
-		Expect(got).To(Equal([]string{"/a", "/b", "/c"}))
+		end("/a", "/d", "/e")
+		reader := bufio.NewReader(conn)
+		got, _ := paths(reader, 2)
+		Expect(got).To(Equal([]string{"/a", "/b"}))
+		Consistently(running, 30*time.Millisecond).Should(ConsistOf("/a", "/b", "/c"))
+		end("/c")
+		got, last := paths(reader, 9)
+		Expect(got).To(Equal([]string{"/c"}))
 		Expect(last.Close).To(BeTrue())
 		Expect(running()).To(ConsistOf("/a", "/b", "/c"))
 	})
@@ -347,8 +358,33 @@
 		Expect(<-arrivals).To(BeTemporally("<", before))
 	})
 
+	// Guards against the cost of a split for callers that send a request before http.Server has ended the one before.
+	It("do not split it where the caller waits for each answer", func() {
+		server := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, r.URL.Path)
+		}), 8, 1<<20, -1)
+		DeferCleanup(server.close)
+		conn := server.dial()
+		DeferCleanup(conn.Close)
+		reader := bufio.NewReader(conn)
+		for range 3000 {
+			_, _ = io.WriteString(conn, get("/a"))
+			got, _ := paths(reader, 1)
+			Expect(got).To(Equal([]string{"/a"}))
+		}
+		Expect(server.pipeline.Stats().Connections).To(BeZero())
+	})
+
 	It("are not read from the socket beyond the allowed number", func() {
 		server, running, end := start(2, nothing)
+		full := server.dial()
+		DeferCleanup(full.Close)
+		_, _ = io.WriteString(full, get("/a")+get("/b"))
+		Eventually(running).Should(ConsistOf("/a", "/b"))
+		_, _ = io.WriteString(full, get("/c"))
+		Consistently(func() int64 { return server.pipeline.Stats().HeldBytes }, 30*time.Millisecond).Should(BeZero())
+		end("/a", "/b", "/c")
+		Eventually(running).Should(ConsistOf("/a", "/b", "/c"))
 		conn := server.dial().(*net.TCPConn)
 		DeferCleanup(conn.Close)
 		_ = conn.SetWriteBuffer(4000)
@@ -364,7 +400,7 @@
 			}
 		}
 		Expect(written).To(BeNumerically("<", most), "the writer waits")
-		Expect(running()).To(HaveLen(1))
+		Expect(running()).To(ConsistOf("/a", "/b", "/c", "/x"))
 		Expect(server.pipeline.Stats().HeldBytes).To(BeNumerically("<=", 16<<10))
 		end("/x")
 	})
