A reset by a full server counts neither as failing nor as not run, and the gate admits less after it

Cause: a run whose caller left or whose deadline passed is over for the gate, and the server goes on with it. Servers that reset connections when full then reset the next request. The reset counted as a broken connection: the server was avoided for all classes, and each one cost a connection.

For the chooser it is a refusal of the class. Nothing changes before the first such reset.

--- a/admissionevent.go
+++ b/admissionevent.go
@@ -30,6 +30,8 @@
 	GateCallsFailedEvent = ibisadmit.CallsFailedEvent
 	// GateCallAnsweredEvent reports that a call by a run was answered.
 	GateCallAnsweredEvent = ibisadmit.CallAnsweredEvent
+	// GateResetEvent reports that the backend server reset a connection because it was full.
+	GateResetEvent = ibisadmit.ResetEvent
 	// GateDrainEvent ends admission permanently: queued requests are refused, running ones finish, and a
 	// GateDrainedEffect follows the last one.
 	GateDrainEvent = ibisadmit.DrainEvent
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -87,6 +87,8 @@
 	// keptFree is whether the gate kept slots free at keptFreeAt, as logged last.
 	keptFree   bool
 	keptFreeAt time.Time
+	// resetLoggedAt is when a reset by the backend server was last logged.
+	resetLoggedAt time.Time
 }
 
 // Stats contains the counts of admission decisions since the start, and the current load.
@@ -101,6 +103,8 @@
 	FailedByCalls uint64
 	// RefusedForCalls is the number of requests that were refused because the calls of their runs would fail.
 	RefusedForCalls uint64
+	// Resets is the number of connections that the backend server reset because it was full.
+	Resets uint64
 	// KeptFree is the number of slots that are kept free for urgent classes.
 	KeptFree int
 	// Running is the number of requests that the backend server processes.
@@ -215,11 +219,15 @@
 	answer := g.send(ctx, order, id, incarnation, left, expectedBytes)
 	g.hear(answer.Notice)
 	end.Latency = g.clock.Now().Sub(began)
+	end.CutOff = answer.Reason == ibismessage.ReasonCancelled || answer.Reason == ibismessage.ReasonDeadline
 	if answer.Outcome != ibisid.OutcomeDone {
 		if answer.Reason == ibismessage.ReasonServerEnded || !answer.Crashed.IsZero() {
 			g.ownership.ReportServerEnded(incarnation)
 		}
-		end.Failed = answer.Arrived
+		if answer.Reset && answer.Reason == ibismessage.ReasonConnectionFailed {
+			answer.Reason = g.judgeReset(incarnation)
+		}
+		end.Failed = answer.Arrived && answer.Reason != ibismessage.ReasonServerReset
 		return answer
 	}
 	end.Failed = answer.Status >= http.StatusInternalServerError
--- a/internal/relay/ibisadmission/guard_test.go
+++ b/internal/relay/ibisadmission/guard_test.go
@@ -230,6 +230,35 @@
 		Eventually(server.count).Should(Equal(3))
 	})
 
+	// Guards against a full server that counts as failing, and against a failing connection of a server with free slots that counts as full.
+	It("takes a reset for that of a full server only while all slots are in use, and admits less after it", func() {
+		guard.SetRules(rules)
+		guard.SetServer(state(ibisroster.StateServing), 0)
+		reset := ibismessage.Unknown(ibismessage.ReasonConnectionFailed, nil)
+		reset.Reset = true
+		outcomes := make(map[ibismessage.Reason]int)
+		one := send(context.Background(), order())
+		server.answers <- reset
+		outcomes[(<-one).Reason]++
+		answers := []chan ibismessage.Answer{send(context.Background(), order()), send(context.Background(), order())}
+		Eventually(server.count).Should(Equal(3))
+		server.answers <- reset
+		for len(outcomes) < 2 {
+			select {
+			case a := <-answers[0]:
+				outcomes[a.Reason]++
+				Expect(a.Outcome).To(Equal(ibisid.OutcomeUnknown))
+			case a := <-answers[1]:
+				outcomes[a.Reason]++
+				Expect(a.Outcome).To(Equal(ibisid.OutcomeUnknown))
+			}
+		}
+		Expect(outcomes).To(Equal(map[ibismessage.Reason]int{ibismessage.ReasonConnectionFailed: 1, ibismessage.ReasonServerReset: 1}))
+		Expect(guard.Stats().Resets).To(Equal(uint64(1)))
+		send(context.Background(), order())
+		Consistently(server.count, 50*time.Millisecond).Should(Equal(3), "one slot of two is used right after a reset")
+	})
+
 	It("refuses new requests to a server that is leaving, and lets running ones finish", func() {
 		guard.SetRules(rules)
 		guard.SetServer(state(ibisroster.StateServing), 0)
--- a/internal/relay/ibisdispatch/attempt.go
+++ b/internal/relay/ibisdispatch/attempt.go
@@ -82,12 +82,13 @@
 	chooser.Update(e, d.clock.Now())
 }
 
-// resultOf returns the result of a try as the chooser counts it; a status of 500 or above is a failure.
+// resultOf returns the result of a try as the chooser counts it; a status of 500 or above is a failure, a
+// reset by a full server is not.
 func resultOf(ctx context.Context, a ibismessage.Answer) ibisbalancer.Result {
 	switch {
 	case ctx.Err() != nil:
 		return ibisbalancer.ResultCancelled
-	case a.Outcome == ibisid.OutcomeNotRun:
+	case a.Outcome == ibisid.OutcomeNotRun, a.Reason == ibismessage.ReasonServerReset:
 		return ibisbalancer.ResultRefused
 	case a.Outcome == ibisid.OutcomeUnknown || a.Status >= 500:
 		return ibisbalancer.ResultFailed
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -216,6 +216,30 @@
 		Expect(p.sent).To(HaveLen(1))
 	})
 
+	// Guards against a full server that is avoided like a failing one, by all classes, and against work that runs twice.
+	It("sends no non-idempotent request again after a reset by a full server, and does not count the server as failing", func() {
+		for _, reason := range []ibismessage.Reason{ibismessage.ReasonServerReset, ibismessage.ReasonConnectionFailed} {
+			p.sent = nil
+			p.answer = func(int, ibisid.NodeName) ibismessage.Answer { return ibismessage.Unknown(reason, nil) }
+			clock.Advance(time.Minute)
+			for range 2 {
+				Expect(serve("/order/1").Outcome).To(Equal(ibisid.OutcomeUnknown))
+			}
+			Expect(p.sent).To(HaveLen(2))
+			p.sent = nil
+			p.answer = func(int, ibisid.NodeName) ibismessage.Answer { return done(200, "whole") }
+			for range 20 {
+				Expect(serve("/look/1").Outcome).To(Equal(ibisid.OutcomeDone))
+			}
+			near := ContainElements(ibisid.NodeName("a"), ibisid.NodeName("b"))
+			if reason == ibismessage.ReasonServerReset {
+				Expect(p.sent).To(near)
+			} else {
+				Expect(p.sent).NotTo(near)
+			}
+		}
+	})
+
 	It("retries a request that has not run on another node, with its body", func() {
 		p.answer = func(n int, _ ibisid.NodeName) ibismessage.Answer {
 			if n == 0 {
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -34,6 +34,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonConnectionFailed means that the connection or the answer failed after the request was sent.
 	ReasonConnectionFailed Reason = "broken"
+	// ReasonServerReset means that the backend server reset the connection because it was full; the request may have run.
+	ReasonServerReset Reason = "serverReset"
 	// ReasonServerCrashed means that the backend server ended while it had the request.
 	ReasonServerCrashed Reason = "serverCrashed"
 	// ReasonQuarantined means that the request is blocked, since several backend servers ended while they had it.
@@ -81,6 +83,8 @@
 	PageVersion uint64
 	// Arrived reports whether the request reached a backend server, even if that rejected it.
 	Arrived bool
+	// Reset reports that the backend server reset or closed the connection before its answer was complete.
+	Reset bool
 	// Crashed is the incarnation of the backend server that ended while it had the request; zero if none did.
 	Crashed ibisroster.ServerIncarnation
 	// Load is the number of running and waiting requests at the node's admission, divided by its limit; negative if unknown.
--- a/internal/request/ibisadmit/arrive.go
+++ b/internal/request/ibisadmit/arrive.go
@@ -117,7 +117,7 @@
 
 // estimateWait returns the time until a request of the queue gets a slot if ahead requests of the queue run before it.
 func (g *Gate) estimateWait(q *classQueue, ahead int, now time.Time) time.Duration {
-	limit := g.limit.bound(now)
+	limit := g.slotLimit(now)
 	wait, totalAhead := 0.0, ahead
 	// heldAbove counts the slots held by classes with a higher priority than the current queue; waiting requests of these
 	// classes take the slots over as requests end. heldEqual counts the slots held by the queues of the same priority up to
--- a/internal/request/ibisadmit/dispatch.go
+++ b/internal/request/ibisadmit/dispatch.go
@@ -61,7 +61,7 @@
 
 // hasRoom reports whether there is a slot for another admission that is not kept free for more urgent classes.
 func (g *Gate) hasRoom(q *classQueue, now time.Time) bool {
-	return g.hasSlot(q, now) && !g.keepsHeadroom(q, g.limit.bound(now), now)
+	return g.hasSlot(q, now) && !g.keepsHeadroom(q, g.slotLimit(now), now)
 }
 
 // hasSlot reports whether the limit, the share of the queue's class, the rate of a cold server and the server's own rate limit
@@ -70,7 +70,7 @@
 	if g.coldRate.full(now) || g.serverRate.full(now) {
 		return false
 	}
-	limit := g.limit.bound(now)
+	limit := g.slotLimit(now)
 	return len(g.running) < limit && q.running < g.classBound(q, limit)
 }
 
--- a/internal/request/ibisadmit/event.go
+++ b/internal/request/ibisadmit/event.go
@@ -42,6 +42,8 @@
 	Failed bool
 	// ConnectionClosed reports that the request's connection is closed.
 	ConnectionClosed bool
+	// CutOff reports that the node gave the request up, so that the server may still work on it.
+	CutOff bool
 }
 
 // HeadReceivedEvent reports that the head of an admitted request's answer was received. The age of the request then no longer
@@ -66,6 +68,10 @@
 	Class ibisid.ClassName
 }
 
+// ResetEvent reports that the backend server reset the connection of a running request because it was full. The request's FinishEvent
+// follows.
+type ResetEvent struct{}
+
 // CancelEvent removes a request that still waits. A running request is unaffected and ends with its FinishEvent.
 type CancelEvent struct {
 	// ID is the request.
@@ -130,6 +136,7 @@
 func (HeadReceivedEvent) gateEvent() {}
 func (CallsFailedEvent) gateEvent()  {}
 func (CallAnsweredEvent) gateEvent() {}
+func (ResetEvent) gateEvent()        {}
 func (CancelEvent) gateEvent()       {}
 func (IdleClosedEvent) gateEvent()   {}
 func (ColdEvent) gateEvent()         {}
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -37,6 +37,7 @@
 	domainOut       bool
 	coldRate        coldRateLimit
 	serverRate      serverRate
+	resets          serverResets
 	callBounds      map[ibisid.ClassName]*callBound
 	// withoutHeadroom disables headroom and the slots for classes that starve, for tests that compare the decisions.
 	withoutHeadroom bool
@@ -147,6 +148,8 @@
 		g.recordCallsFailed(e, now)
 	case CallAnsweredEvent:
 		g.recordCallAnswered(e)
+	case ResetEvent:
+		g.recordReset(now)
 	case CancelEvent:
 		g.removeAll(func(w waitingRequest, _ int) bool { return w.id == e.ID })
 	case IdleClosedEvent:
@@ -299,6 +302,9 @@
 		g.openConnections--
 	}
 	g.timing(r.queue.name).add(now.Sub(r.admittedAt), e, now)
+	if e.CutOff {
+		g.recordCutOff(r, now)
+	}
 	g.recordCallRun(r.queue.name, r.admittedAt)
 	if g.limit.addSample(r.queue.name, e, r.admittedAt, busy, now) {
 		g.handleSlowServer(now)
--- a/internal/request/ibisadmit/overload_test.go
+++ b/internal/request/ibisadmit/overload_test.go
@@ -129,6 +129,9 @@
 }
 
 func (r *replay) begin(id ibisadmit.RequestID) {
+	if r.waiting[id] == nil {
+		return
+	}
 	c, began := r.waiting[id].class, r.now
 	count := r.count(c.name)
 	count.begun++
