A run that failed because of its calls does not make its server count as failing

Cause: an answer of 500 makes the chooser avoid the server for all classes for up to 0.5 s. While a callee is full that hits the classes without calls at every server whose runs call it.

Change: the guard marks such an answer (failedByCalls, only in such answers); the chooser takes it for a refusal of the class. The replay of calls and long jobs also checks the order of service.

--- a/internal/relay/ibisadmission/calls.go
+++ b/internal/relay/ibisadmission/calls.go
@@ -53,14 +53,16 @@
 	}, g.clock.Now())
 }
 
-// endRun records the end of such an order; g.mu is held.
-func (g *Guard) endRun(id ibisadmit.RequestID, answer ibismessage.Answer) {
+// endRun records the end of such an order, and reports whether it failed because of its calls; g.mu is held.
+func (g *Guard) endRun(id ibisadmit.RequestID, answer ibismessage.Answer) bool {
+	before := g.stats.FailedByCalls
 	answered := answer.Outcome == ibisid.OutcomeDone
 	g.updateCalls(ibiscalls.RunEndEvent{
 		ID:        ibiscalls.RunID(id),
 		Failed:    answered && answer.Status >= http.StatusInternalServerError,
 		Abandoned: !answered,
 	}, g.clock.Now())
+	return g.stats.FailedByCalls > before
 }
 
 // updateCalls passes an event to the tracker of calls, and what it learns to the gate; g.mu is held.
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -249,7 +249,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.link.expectedBytes -= expectedBytes
-		g.endRun(id, answer)
+		answer.FailedByCalls = g.endRun(id, answer)
 	}()
 	return g.backend.Send(ctx, order, incarnation, left)
 }
--- a/internal/relay/ibisdispatch/attempt.go
+++ b/internal/relay/ibisdispatch/attempt.go
@@ -83,12 +83,12 @@
 }
 
 // resultOf returns the result of a try as the chooser counts it; a status of 500 or above is a failure, a
-// reset by a full server is not.
+// reset by a full server and a failure because of calls to other services are not.
 func resultOf(ctx context.Context, a ibismessage.Answer) ibisbalancer.Result {
 	switch {
 	case ctx.Err() != nil:
 		return ibisbalancer.ResultCancelled
-	case a.Outcome == ibisid.OutcomeNotRun, a.Reason == ibismessage.ReasonServerReset:
+	case a.Outcome == ibisid.OutcomeNotRun, a.Reason == ibismessage.ReasonServerReset, a.FailedByCalls:
 		return ibisbalancer.ResultRefused
 	case a.Outcome == ibisid.OutcomeUnknown || a.Status >= 500:
 		return ibisbalancer.ResultFailed
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -217,22 +217,38 @@
 	})
 
 	// Guards against a full server that is avoided like a failing one, by all classes, and against work that runs twice.
-	It("sends no non-idempotent request again after a reset by a full server, and does not count the server as failing", func() {
-		for _, reason := range []ibismessage.Reason{ibismessage.ReasonServerReset, ibismessage.ReasonConnectionFailed} {
+	It("sends no non-idempotent request again after a reset by a full server, and counts neither that nor a failure by calls as a failing server", func() {
+		failedByCalls := done(500, "")
+		failedByCalls.FailedByCalls = true
+		for _, c := range []struct {
+			answer  ibismessage.Answer
+			failing bool
+		}{
+			{ibismessage.Unknown(ibismessage.ReasonServerReset, nil), false},
+			{ibismessage.Unknown(ibismessage.ReasonConnectionFailed, nil), true},
+			{failedByCalls, false},
+			{done(500, ""), true},
+		} {
 			p.sent = nil
-			p.answer = func(int, ibisid.NodeName) ibismessage.Answer { return ibismessage.Unknown(reason, nil) }
+			p.answer = func(int, ibisid.NodeName) ibismessage.Answer { return c.answer }
 			clock.Advance(time.Minute)
 			for range 2 {
-				Expect(serve("/order/1").Outcome).To(Equal(ibisid.OutcomeUnknown))
+				answer := serve("/order/1")
+				Expect(answer.Outcome).To(Equal(c.answer.Outcome))
+				if answer.Body != nil {
+					Expect(answer.Body.Close()).To(Succeed())
+				}
 			}
 			Expect(p.sent).To(HaveLen(2))
 			p.sent = nil
 			p.answer = func(int, ibisid.NodeName) ibismessage.Answer { return done(200, "whole") }
 			for range 20 {
-				Expect(serve("/look/1").Outcome).To(Equal(ibisid.OutcomeDone))
+				answer := serve("/look/1")
+				Expect(answer.Outcome).To(Equal(ibisid.OutcomeDone))
+				Expect(answer.Body.Close()).To(Succeed())
 			}
 			near := ContainElements(ibisid.NodeName("a"), ibisid.NodeName("b"))
-			if reason == ibismessage.ReasonServerReset {
+			if !c.failing {
 				Expect(p.sent).To(near)
 			} else {
 				Expect(p.sent).NotTo(near)
--- a/internal/relay/ibisforward/forward_test.go
+++ b/internal/relay/ibisforward/forward_test.go
@@ -108,7 +108,8 @@
 			body, _ := io.ReadAll(o.BodyReader())
 			got.Body = body
 			return ibismessage.Answer{
-				Outcome: ibisid.OutcomeDone, Arrived: true, Status: http.StatusCreated, Length: 4, Load: 0.5,
+				FailedByCalls: true,
+				Outcome:       ibisid.OutcomeDone, Arrived: true, Status: http.StatusCreated, Length: 4, Load: 0.5,
 				Header: http.Header{"Server-Seal": {"x"}}, Body: io.NopCloser(bytes.NewReader([]byte("done"))),
 				Notice: ibisset.Some(o.Notice),
 			}
@@ -126,6 +127,7 @@
 		Expect(answer.Header).NotTo(HaveKey("X-Ibis-Answer"))
 		Expect(answer.Load).To(BeNumerically("~", 0.5, 0.01))
 		Expect(io.ReadAll(answer.Body)).To(Equal([]byte("done")))
+		Expect(answer.FailedByCalls).To(BeTrue())
 		Expect(got.URI).To(Equal(sent.URI))
 		Expect(got.Host).To(Equal(sent.Host))
 		Expect(got.Body).To(Equal(sent.Body))
--- a/internal/relay/ibisforward/wire.go
+++ b/internal/relay/ibisforward/wire.go
@@ -44,6 +44,8 @@
 	PageVersion  uint64             `json:"pageVersion,omitempty"`
 	Arrived      bool               `json:"arrived,omitempty"`
 	Load         float32            `json:"load"`
+	// FailedByCalls reports that a run failed because of its calls.
+	FailedByCalls bool `json:"failedByCalls,omitempty"`
 	// Crashed is the incarnation of the backend server that ended while it had the request.
 	Crashed ibisroster.ServerIncarnation `json:"crashed,omitzero"`
 	// Notice is absent in the answer of a backend server that says nothing about itself.
@@ -154,15 +156,16 @@
 
 func encodeAnswer(a ibismessage.Answer) string {
 	value, err := json.Marshal(answerHeader{
-		Outcome:      a.Outcome,
-		Reason:       a.Reason,
-		RetryAfterMs: a.RetryAfter.Milliseconds(),
-		Owner:        a.Owner,
-		PageVersion:  a.PageVersion,
-		Arrived:      a.Arrived,
-		Load:         float32(int(a.Load*100)) / 100,
-		Crashed:      a.Crashed,
-		Notice:       encodeNotice(a.Notice.Or(ibismessage.ServerNotice{})),
+		Outcome:       a.Outcome,
+		Reason:        a.Reason,
+		RetryAfterMs:  a.RetryAfter.Milliseconds(),
+		Owner:         a.Owner,
+		PageVersion:   a.PageVersion,
+		Arrived:       a.Arrived,
+		Load:          float32(int(a.Load*100)) / 100,
+		FailedByCalls: a.FailedByCalls,
+		Crashed:       a.Crashed,
+		Notice:        encodeNotice(a.Notice.Or(ibismessage.ServerNotice{})),
 	})
 	if err != nil {
 		panic(fmt.Sprintf("answer can't be encoded: %v", err))
@@ -185,14 +188,15 @@
 		notice = ibisset.Some(decodeNotice(h.Notice))
 	}
 	return ibismessage.Answer{
-		Outcome:     h.Outcome,
-		Reason:      h.Reason,
-		RetryAfter:  time.Duration(h.RetryAfterMs) * time.Millisecond,
-		Owner:       h.Owner,
-		PageVersion: h.PageVersion,
-		Arrived:     h.Arrived,
-		Load:        float64(h.Load),
-		Crashed:     h.Crashed,
-		Notice:      notice,
+		Outcome:       h.Outcome,
+		Reason:        h.Reason,
+		RetryAfter:    time.Duration(h.RetryAfterMs) * time.Millisecond,
+		Owner:         h.Owner,
+		PageVersion:   h.PageVersion,
+		Arrived:       h.Arrived,
+		Load:          float64(h.Load),
+		FailedByCalls: h.FailedByCalls,
+		Crashed:       h.Crashed,
+		Notice:        notice,
 	}, nil
 }
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -83,6 +83,8 @@
 	PageVersion uint64
 	// Arrived reports whether the request reached a backend server, even if that rejected it.
 	Arrived bool
+	// FailedByCalls reports that the backend server's answer is a failure because its calls to other services failed.
+	FailedByCalls bool
 	// Reset reports that the backend server reset or closed the connection before its answer was complete.
 	Reset bool
 	// Crashed is the incarnation of the backend server that ended while it had the request; zero if none did.
--- a/internal/request/ibisadmit/overload_test.go
+++ b/internal/request/ibisadmit/overload_test.go
@@ -257,8 +257,11 @@
 				calls.begunInTime += a.begunInTime
 				done.arrived += r.count("job").arrived
 				done.begun += r.count("job").begun
+				calls.begun += a.begun
 			}
 			GinkgoWriter.Println(scale, float64(calls.begunInTime)/float64(calls.arrived), float64(done.begun)/float64(done.arrived))
+			served := func(c replayCount) float64 { return float64(c.begun) / float64(c.arrived) }
+			Expect(served(calls)).To(BeNumerically(">=", served(done)-0.05), "order of service")
 			Expect(calls.begunInTime).To(BeNumerically(">=", int(callsInTime*float64(calls.arrived))))
 			Expect(done.begun).To(BeNumerically(">=", int(jobs*float64(done.arrived))))
 		},
