--- a/internal/request/ibisadmit/callbound.go
+++ b/internal/request/ibisadmit/callbound.go
@@ -35,8 +35,10 @@
 	smallGrowth = 0.01
 	largeGrowth = 1.0
 	maxGrowth   = 3.0
-	// mostFail is the share of failures from which a bound is lowered whatever came of it before.
-	mostFail = 0.5
+	// mostFail is the share of failures from which a bound is lowered whatever came of it before, if fewer than answeredShare calls were
+	// answered for each failure. Where more are answered, the callee turns calls away at random, and fewer runs would not help the others.
+	mostFail      = 0.5
+	answeredShare = 0.25
 	// helpedShare times the share that failed when a bound began must not fail with it, or else the callee is full of other work and fewer
 	// runs are no help: the class is then not bounded for unhelpedPause.
 	helpedShare   = 0.5
@@ -75,7 +77,7 @@
 
 // callCount counts the runs of a class in one step.
 type callCount struct {
-	refused, ended, failed int
+	refused, ended, failed, answered int
 }
 
 func (b *callBound) current() *callCount { return &b.counts[0] }
@@ -86,10 +88,16 @@
 		out.refused += c.refused
 		out.ended += c.ended
 		out.failed += c.failed
+		out.answered += c.answered
 	}
 	return out
 }
 
+// calleeIsFull reports whether most runs failed and hardly any call was answered.
+func (c callCount) calleeIsFull() bool {
+	return c.failedShare() >= mostFail && float64(c.answered) < answeredShare*float64(c.failed)
+}
+
 // failedLately reports whether a run failed for its calls within the last callPause steps, or in the current one if most runs failed:
 // few are admitted then, and the first call that is answered shows that the callee recovers.
 func (b *callBound) failedLately() bool {
@@ -138,11 +146,11 @@
 	total := b.sum()
 	failed := total.failedShare()
 	switch {
-	case total.failed < minCallFailures, failed < mostFail && (total.ended < sureCallEnds || now.Before(b.notUntil)):
+	case total.failed < minCallFailures, !total.calleeIsFull() && (total.ended < sureCallEnds || now.Before(b.notUntil)):
 	case b.perSecond == 0 && failed > beginCallFailures:
 		b.beganShare = failed
 		g.lowerCallBound(e.Class, b, failed, now)
-	case b.perSecond > 0 && failed < mostFail && b.perSecond <= b.loweredTo && failed > helpedShare*b.beganShare:
+	case b.perSecond > 0 && !total.calleeIsFull() && b.perSecond <= b.loweredTo && failed > helpedShare*b.beganShare:
 		b.perSecond = 0
 		b.notUntil = now.Add(unhelpedPause)
 	case b.perSecond > 0 && failed > maxCallFailures:
@@ -161,11 +169,11 @@
 	if rate == 0 {
 		rate = b.arrivalRate(now)
 	}
-	arriving := b.arrivalRate(now)
+	arriving, full := b.arrivalRate(now), b.sum().calleeIsFull()
 	least := max(minCallRate, minCallShare*arriving)
 	b.perSecond = max(least, rate*(1-failed)*callMargin)
 	b.failedRate, b.loweredTo = rate, b.perSecond
-	if failed >= mostFail || b.perSecond <= 2*least {
+	if full || b.perSecond <= 2*least {
 		b.failedRate = 0
 	}
 	b.resetGrowth()
@@ -192,9 +200,13 @@
 func (g *Gate) recordCallAnswered(e CallAnsweredEvent) {
 	if b := g.callBounds[e.Class]; b != nil {
 		b.recovering = true
+		b.current().answered++
 	}
 }
 
+// CountsCalls reports whether calls by runs of the class are counted, since some of its runs failed because of them.
+func (g *Gate) CountsCalls(class ibisid.ClassName) bool { return g.callBounds[class] != nil }
+
 // recordCallRun counts a run that ended.
 func (g *Gate) recordCallRun(class ibisid.ClassName, began time.Time) {
 	if b := g.callBounds[class]; b != nil && !began.Before(b.changedAt) {
--- a/internal/request/ibisadmit/event.go
+++ b/internal/request/ibisadmit/event.go
@@ -46,6 +46,8 @@
 	Failed bool
 	// ConnectionClosed reports that the request's connection is closed.
 	ConnectionClosed bool
+	// CutOff reports that the node gave the request up, so that the server may still work on it.
+	CutOff bool
 }
 
 // RejectedEvent reports that the backend server rejected an admitted request that no other server can run, and has not run it. The
@@ -79,6 +81,10 @@
 	Class ibisid.ClassName
 }
 
+// ResetEvent reports that the backend server reset the connection of a running request because it was full. The request's FinishEvent
+// follows.
+type ResetEvent struct{}
+
 // CancelEvent removes a request that still waits. A running request is unaffected and ends with its FinishEvent.
 type CancelEvent struct {
 	// ID is the request.
@@ -144,6 +150,7 @@
 func (RejectedEvent) gateEvent()     {}
 func (CallsFailedEvent) gateEvent()  {}
 func (CallAnsweredEvent) gateEvent() {}
+func (ResetEvent) gateEvent()        {}
 func (CancelEvent) gateEvent()       {}
 func (IdleClosedEvent) gateEvent()   {}
 func (ColdEvent) gateEvent()         {}
