Accounts: two guards that no test covered

Change: a test for the first; the second test has the less urgent order arrive first, which fair queueing alone would run first.

--- a/internal/relay/ibisadmission/guard_test.go
+++ b/internal/relay/ibisadmission/guard_test.go
@@ -201,8 +201,8 @@
 		Expect(admitted).To(BeNumerically(">=", 12))
 	})
 
-	// Guards against a gate that doesn't learn an order's account: the waiting orders would run in order of arrival.
-	It("admits the order of the account with the more urgent priority first, whatever its class", func() {
+	// Guards against a gate that doesn't learn an order's account and priority: the account's order, which comes first, would run first.
+	It("admits the order with the more urgent priority first, that of its account or else that of its class", func() {
 		guard.SetRules(ibisadmission.Rules{Connections: 130, Policy: ibisadmit.Policy{Classes: map[ibisid.ClassName]ibisadmit.ClassPolicy{
 			"look": ibisadmission.ClassPolicy(1),
 		}}})
@@ -212,8 +212,8 @@
 		}
 		Eventually(server.count).Should(Equal(2))
 		ofClass, ofAccount := order(), order()
-		ofAccount.Tenant, ofAccount.Priority = "kandy", 0
-		for i, o := range []ibismessage.Order{ofClass, ofAccount} {
+		ofAccount.Tenant, ofAccount.Priority = "kandy", 2
+		for i, o := range []ibismessage.Order{ofAccount, ofClass} {
 			send(context.Background(), o)
 			Eventually(func() int { return guard.Stats().Waiting }).Should(Equal(i + 1))
 		}
@@ -222,7 +222,8 @@
 		for range 3 {
 			server.answers <- okAnswer()
 		}
-		Expect(server.orders[2].Tenant).To(BeEquivalentTo("kandy"))
+		Expect(server.orders[2].Tenant).To(BeEmpty())
+		Expect(server.orders[3].Tenant).To(BeEquivalentTo("kandy"))
 	})
 
 	// Guards against an order that runs long after its key was removed since it waited at the gate.
--- a/internal/relay/ibisdispatch/account_test.go
+++ b/internal/relay/ibisdispatch/account_test.go
@@ -188,6 +188,20 @@
 		Entry("accounts added, key unknown", config(1), config(2, entry("kandy", 1, "k-9")), ibismessage.ReasonUnreachable, ibismessage.ReasonUnauthorized),
 	)
 
+	It("takes the key off a request that was accepted without accounts before it is sent again", func() {
+		dispatcher.SetConfig(config(1))
+		p.answer = func(n int, _ ibisid.NodeName) ibismessage.Answer {
+			if n > 0 {
+				return done(200, "whole")
+			}
+			dispatcher.SetConfig(config(2, entry("kandy", 1, "k-9")))
+			return ibismessage.NotRun(ibismessage.ReasonUnreachable, 0, nil)
+		}
+		Expect(serve("free", "k-1").Outcome).To(Equal(ibisid.OutcomeDone))
+		Expect(p.orders[0].Header).To(HaveKey("Authorization"))
+		Expect(p.orders[1].Header).To(Equal(http.Header{"Accept": {"*/*"}}))
+	})
+
 	DescribeTable("runs requests in regions that are homes of both the account and the route",
 		func(route string, homes []ibisid.RegionName, nodes ...ibisid.NodeName) {
 			dispatcher.SetConfig(config(1, entry("kandy", 1, "k-1", homes...)))
