ibisconnections: connections, heads and bytes draw on a budget

Cause: http.Server parses 256 KiB of fields before anything counts them, and connections that hold bytes without progress stay.

With WithMemory, a connection is accepted if it fits; for it, or for bytes of a request, connections are closed that hold much and transfer little. Heads are counted by bytes and lines in Read, before http.Server sees them, and get 431 or 503 and the end of the connection. CloseStalled closes clients that transfer too little, by what the peer has acknowledged. Without the option, nothing but two uncontended locks and a clock reading per write is added.

--- a/internal/relay/ibisconnections/conn.go
+++ b/internal/relay/ibisconnections/conn.go
@@ -1,6 +1,7 @@
 package ibisconnections
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
@@ -8,8 +9,16 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/ibisridge/ibisridge/internal/request/ibismemory"
 )
 
+// readAheadBytes is how much http.Server reads at once of a request's head, and so the most that it has read of the next one.
+const readAheadBytes = 4 << 10
+
+// headEnd ends the heads that clients commonly send.
+var headEnd = []byte("\r\n\r\n")
+
 // phase is what a connection waits for or does; it selects the time limit that applies.
 type phase int
 
@@ -32,9 +41,22 @@
 	// raw gives access to the socket, nil if the connection isn't one.
 	raw syscall.RawConn
 
+	// account counts what the connection holds of the budget.
+	account account
+
 	mu    sync.Mutex
 	phase phase
 	since time.Time
+	// used means that a request has been served.
+	used bool
+	// head counts the head that is being read; lastRead is what the last read added, of which the next head may be a part.
+	head, lastRead ibismemory.HeadCount
+	// received and written are the bytes of the request that is being served, after its head, and of its answer.
+	received, written int64
+	// receiving and sending are since when the handler waits for the body, and since when it writes; zero if it does not.
+	receiving, sending time.Time
+	// span is what the connection has transferred when its progress was last enough.
+	span span
 }
 
 func newConn(inner net.Conn, connections *Connections, now time.Time) *conn {
@@ -56,7 +78,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	if c.raw == nil {
 		n, err := c.Conn.Read(p)
-		if n > 0 && !c.receive() {
+		if n > 0 && !c.receive(p[:n]) {
 			return 0, net.ErrClosed
 		}
 		return n, err
@@ -75,9 +97,26 @@
 	case n == 0 && len(p) > 0:
 		return 0, io.EOF
 	}
+	if err := c.payForHead(); err != nil {
+		return 0, err
+	}
 	return n, nil
 }
 
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	began := c.connections.clock.Now()
+	c.mu.Lock()
+	c.sending = began
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.sending = time.Time{}
+	c.written += int64(n)
+	c.mu.Unlock()
+	return n, err
+}
+
 // readSocket reads what the socket has received, without waiting, while no one can close the connection for idleness.
 func (c *conn) readSocket(fd int, p []byte) (int, error) {
 	c.mu.Lock()
@@ -90,25 +129,44 @@
 		n, err = syscall.Read(fd, p)
 	}
 	if err != nil {
+		// http.Server reads a single byte ahead while a handler runs, to notice the end of the connection.
+		if c.phase == phaseServing && len(p) > 1 && c.receiving.IsZero() {
+			c.receiving = c.connections.clock.Now()
+		}
 		return 0, err
 	}
 	if n > 0 {
-		c.beginHeader()
+		c.count(p[:n])
 	}
 	return n, nil
 }
 
 // receive records that bytes were read, and reports false if the connection is closed.
-func (c *conn) receive() bool {
+func (c *conn) receive(text []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseClosed {
 		return false
 	}
-	c.beginHeader()
+	c.count(text)
 	return true
 }
 
+// count records received bytes; c.mu is held.
+func (c *conn) count(text []byte) {
+	c.beginHeader()
+	c.lastRead = ibismemory.HeadCount{}
+	if !bytes.HasSuffix(text, headEnd) {
+		c.lastRead.Add(text)
+	}
+	if c.phase == phaseHeader {
+		c.head.Add(text)
+		return
+	}
+	c.received += int64(len(text))
+	c.receiving = time.Time{}
+}
+
 // beginHeader records the first byte of a request on an idle connection; c.mu is held.
 func (c *conn) beginHeader() {
 	if c.phase == phaseIdle {
@@ -148,6 +206,12 @@
 	if c.phase != phaseClosed {
 		c.phase = phaseIdle
 		c.since = now
+		c.used = true
+		c.head = ibismemory.HeadCount{}
+		if c.lastRead.Bytes <= readAheadBytes {
+			// What was read beyond the last request is not read again.
+			c.head = c.lastRead
+		}
 	}
 }
 
@@ -158,6 +222,7 @@
 		return false
 	}
 	c.phase = phaseServing
+	c.received, c.written, c.receiving = 0, 0, time.Time{}
 	return true
 }
 
--- a/internal/relay/ibisconnections/connections.go
+++ b/internal/relay/ibisconnections/connections.go
@@ -8,6 +8,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisset"
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/request/ibismemory"
 )
 
 // Limits are the time limits of a connection; zero means no limit.
@@ -22,16 +23,28 @@
 type Connections struct {
 	clock ibistimer.Service
 
+	// memory bounds the connections, nil for no bound.
+	memory    *Memory
+	partOf    func(peer net.Addr) ibismemory.Part
+	headLimit func() int
+	report    func(part ibismemory.Part, refusal Refusal, n int)
+
 	mu   sync.Mutex
 	open ibisset.Set[*conn]
+	// nextScan is when connections to close may be searched again.
+	nextScan time.Time
 }
 
 // New returns an empty set of connections.
-func New(clock ibistimer.Service) *Connections {
-	return &Connections{
+func New(clock ibistimer.Service, options ...Option) *Connections {
+	c := &Connections{
 		clock: clock,
 		open:  make(ibisset.Set[*conn]),
 	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Listener returns a listener whose connections are tracked from their acceptance until they are closed.
@@ -49,15 +62,21 @@
 
 // Accept waits for the next connection.
 func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if part, ok := l.connections.admit(inner); ok {
+			return l.connections.add(inner, part), nil
+		}
+		_ = inner.Close()
 	}
-	return l.connections.add(inner), nil
 }
 
-func (c *Connections) add(inner net.Conn) *conn {
+func (c *Connections) add(inner net.Conn, part ibismemory.Part) *conn {
 	tracked := newConn(inner, c, c.clock.Now())
+	tracked.account.part = part
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open.Add(tracked)
@@ -68,12 +87,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open.Remove(closed)
+	if c.memory != nil {
+		closed.account.end(c.memory)
+	}
 }
 
 // SetState records a connection's new state, as http.Server.ConnState reports it.
 func (c *Connections) SetState(nc net.Conn, state http.ConnState) {
 	if tracked, ok := nc.(*conn); ok && state == http.StateIdle {
 		tracked.awaitRequest(c.clock.Now())
+		if c.memory != nil {
+			tracked.account.endRequest(c.memory)
+		}
 	}
 }
 
@@ -102,11 +127,38 @@
 	return len(c.open)
 }
 
+// CloseStalled closes the connections whose clients transfer too little and returns how many there were.
+func (c *Connections) CloseStalled(least Progress) int {
+	if least.Span <= 0 {
+		return 0
+	}
+	now := c.clock.Now()
+	c.mu.Lock()
+	before := len(c.open)
+	var parts []ibismemory.Part
+	c.closeEach(func(tracked *conn) bool {
+		closed := tracked.closeIfStalled(least, now)
+		if closed {
+			parts = append(parts, tracked.account.part)
+		}
+		return closed
+	})
+	n := before - len(c.open)
+	c.mu.Unlock()
+	for _, part := range parts {
+		c.reportRefusal(part, RefusalProgress, 1)
+	}
+	return n
+}
+
 // closeEach drops the connections that the function has closed; c.mu is held.
 func (c *Connections) closeEach(closeIf func(tracked *conn) bool) {
 	for tracked := range c.open {
 		if closeIf(tracked) {
 			c.open.Remove(tracked)
+			if c.memory != nil {
+				tracked.account.end(c.memory)
+			}
 		}
 	}
 }
