platform: all clients draw on one budget of memory and descriptors

Cause: readBody holds up to 64 KiB a request before anything bounds the sum, heartbeats and calls of the store are read whole, and no port but the callers' bounds bytes, connections or time.

Other parts draw on the budget by Memory.Of(part).Reserve and .Release.

--- a/internal/relay/ibisadmission/link.go
+++ b/internal/relay/ibisadmission/link.go
@@ -1,6 +1,8 @@
 package ibisadmission
 
 import (
+	"io"
+	"sync"
 	"time"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
@@ -18,6 +20,16 @@
 	AnswerBytes int
 	// LinkRate is the number of bytes of long answers per second that the link carries; zero for no limit.
 	LinkRate float64
+	// Memory is the budget that buffered answers draw on, nil for none beside AnswerBytes.
+	Memory AnswerMemory
+}
+
+// AnswerMemory counts the bytes of buffered answers against the memory of the process.
+type AnswerMemory interface {
+	// Reserve counts bytes if they fit, and reports whether they do.
+	Reserve(bytes int) bool
+	// Release takes bytes back.
+	Release(bytes int)
 }
 
 // bytesWithin returns how many bytes of long answers the link carries within a duration.
@@ -117,10 +129,33 @@
 	if length <= ibismessage.MaxBufferedAnswerBytes || length > g.link.limits.AnswerBytes-g.link.heldBytes {
 		return
 	}
+	memory := g.link.limits.Memory
+	if memory != nil && !memory.Reserve(length) {
+		return
+	}
 	g.link.heldBytes += length
 	answer.Body = newSpool(answer.Body, length, func(bytes int) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.link.heldBytes -= bytes
 	})
+	if memory != nil {
+		// The buffer stays whole until the answer is closed, however much of it has been read.
+		answer.Body = &closeNotifier{
+			ReadCloser: answer.Body,
+			onClose:    sync.OnceFunc(func() { memory.Release(length) }),
+		}
+	}
+}
+
+// closeNotifier calls onClose when a body is closed.
+type closeNotifier struct {
+	io.ReadCloser
+	onClose func()
+}
+
+// Close closes the body and calls onClose.
+func (b *closeNotifier) Close() error {
+	defer b.onClose()
+	return b.ReadCloser.Close()
 }
--- a/internal/relay/ibisadmission/link_test.go
+++ b/internal/relay/ibisadmission/link_test.go
@@ -90,6 +90,23 @@
 		Expect(guard.Stats().Running).To(BeZero())
 	})
 
+	// Guards against buffered answers that are not counted, or no longer while their callers read them slowly.
+	It("buffers an answer only if it fits into the memory, and counts it until it is closed", func() {
+		memory := &answerMemory{left: length}
+		start(ibisadmission.Limits{AnswerBytes: 10 * length, LinkRate: 100 * length, Memory: memory})
+		first := guard.Send(context.Background(), order())
+		Eventually(func() int { return guard.Stats().Running }).Should(BeZero())
+		second := guard.Send(context.Background(), order())
+		Consistently(func() int { return guard.Stats().Running }, 50*time.Millisecond).Should(Equal(1))
+		for _, answer := range []ibismessage.Answer{first, second} {
+			Expect(io.ReadAll(answer.Body)).To(HaveLen(length))
+		}
+		Expect(memory.left).To(BeZero())
+		Expect(first.Body.Close()).To(Succeed())
+		Expect(first.Body.Close()).To(Succeed())
+		Expect(memory.left).To(BeEquivalentTo(length))
+	})
+
 	It("returns the error of an answer that ends early", func() {
 		start(ibisadmission.Limits{AnswerBytes: 10 * length, LinkRate: 100 * length})
 		server.err = errors.New("reset")
@@ -188,3 +205,16 @@
 		Eventually(func() int { return guard.Stats().Running }).Should(BeZero())
 	})
 })
+
+// answerMemory has room for a number of bytes.
+type answerMemory struct{ left int }
+
+func (m *answerMemory) Reserve(bytes int) bool {
+	if bytes > m.left {
+		return false
+	}
+	m.left -= bytes
+	return true
+}
+
+func (m *answerMemory) Release(bytes int) { m.left += bytes }
--- a/internal/relay/ibisconnections/conn.go
+++ b/internal/relay/ibisconnections/conn.go
@@ -222,6 +222,7 @@
 		return false
 	}
 	c.phase = phaseServing
+	c.head = ibismemory.HeadCount{}
 	c.received, c.written, c.receiving = 0, 0, time.Time{}
 	return true
 }
--- a/internal/relay/ibisconnections/memory.go
+++ b/internal/relay/ibisconnections/memory.go
@@ -73,20 +73,38 @@
 	return m.budget.Used(p)
 }
 
-// Hold counts bytes that a part holds, if they fit, and reports whether they do.
-func (m *Memory) Hold(p ibismemory.Part, bytes int64) bool {
+func (m *Memory) hold(p ibismemory.Part, bytes int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.budget.Hold(p, bytes)
 }
 
-// Release takes back bytes.
-func (m *Memory) Release(p ibismemory.Part, bytes int64) {
+func (m *Memory) release(p ibismemory.Part, bytes int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.budget.Release(p, bytes)
 }
 
+// PartMemory is the budget of one part, for bytes that belong to no connection in particular; it is safe for concurrent use.
+type PartMemory struct {
+	memory *Memory
+	part   ibismemory.Part
+}
+
+// Of returns the budget of a part.
+func (m *Memory) Of(p ibismemory.Part) PartMemory {
+	return PartMemory{
+		memory: m,
+		part:   p,
+	}
+}
+
+// Reserve counts bytes if they fit, and reports whether they do.
+func (m PartMemory) Reserve(bytes int) bool { return m.memory.hold(m.part, int64(bytes)) }
+
+// Release takes bytes back.
+func (m PartMemory) Release(bytes int) { m.memory.release(m.part, int64(bytes)) }
+
 func (m *Memory) open(p ibismemory.Part) (opened, crowded bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -134,7 +152,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
-		memory.Release(a.part, bytes)
+		memory.release(a.part, bytes)
 		return
 	}
 	a.held += bytes
@@ -149,7 +167,7 @@
 	defer a.mu.Unlock()
 	if !a.closed && bytes > 0 {
 		a.held -= bytes
-		memory.Release(a.part, bytes)
+		memory.release(a.part, bytes)
 	}
 }
 
@@ -159,7 +177,7 @@
 	defer a.mu.Unlock()
 	if !a.closed && a.ofRequest > 0 {
 		a.held -= a.ofRequest
-		memory.Release(a.part, a.ofRequest)
+		memory.release(a.part, a.ofRequest)
 		a.ofRequest = 0
 	}
 }
@@ -210,8 +228,8 @@
 // Hold counts bytes that the request of a connection holds, if they fit, for which other connections may be closed. It returns the
 // function that gives them back, and whether they fit.
 func (c *Connections) Hold(nc net.Conn, bytes int64) (release func(), ok bool) {
-	tracked, ok := nc.(*conn)
-	if !ok || c.memory == nil {
+	tracked := trackedOf(nc)
+	if tracked == nil || c.memory == nil {
 		return func() {}, true
 	}
 	if !c.hold(tracked, bytes, false) {
@@ -221,22 +239,23 @@
 	return sync.OnceFunc(func() { tracked.account.release(c.memory, bytes) }), true
 }
 
-// HoldRequest counts bytes that a request holds until it has been answered, if they fit, and reports whether they do.
-func (c *Connections) HoldRequest(nc net.Conn, bytes int64) bool {
-	tracked, ok := nc.(*conn)
-	if !ok || c.memory == nil {
-		return true
-	}
-	if !c.hold(tracked, bytes, true) {
-		c.reportRefusal(tracked.account.part, RefusalMemory, 1)
-		return false
+// trackedOf returns the tracked connection that a connection is or wraps, nil if there is none.
+func trackedOf(nc net.Conn) *conn {
+	for {
+		switch c := nc.(type) {
+		case *conn:
+			return c
+		case interface{ NetConn() net.Conn }:
+			nc = c.NetConn()
+		default:
+			return nil
+		}
 	}
-	return true
 }
 
 func (c *Connections) hold(tracked *conn, bytes int64, ofRequest bool) bool {
 	part := tracked.account.part
-	if !c.memory.Hold(part, bytes) && !(c.makeRoom(part, bytes, tracked) && c.memory.Hold(part, bytes)) {
+	if !c.memory.hold(part, bytes) && !(c.makeRoom(part, bytes, tracked) && c.memory.hold(part, bytes)) {
 		return false
 	}
 	tracked.account.add(c.memory, bytes, ofRequest)
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -327,6 +327,11 @@
 		return refusal
 	}
 	limit := p.config.Limits().BodyBytes
+	release, ok := holdBody(request, limit)
+	if !ok {
+		return ibismessage.NotRun(ibismessage.ReasonMemory, d.retryAfter(memoryRetryAfter), nil)
+	}
+	defer release()
 	body, rest, err := readBody(request, limit)
 	if err != nil {
 		reason := ibismessage.ReasonBadRequest
--- a/internal/relay/ibisdispatch/dispatcher_test.go
+++ b/internal/relay/ibisdispatch/dispatcher_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -553,6 +554,46 @@
 		})
 	})
 
+	// Guards against bodies that are held before anything bounds their sum.
+	DescribeTable("refuses a body that does not fit into the memory, as not run, and before reading it",
+		func(length int, wants int64) {
+			body := bytes.NewReader(make([]byte, 100))
+			asked := int64(0)
+			answer := dispatcher.Serve(context.Background(), ibisdispatch.Request{
+				ID: "r1", Method: http.MethodPost, URI: "/order/1", Path: "/order/1", Host: "mats.example",
+				Arrived: clock.Now(), Length: int64(length), Body: body,
+				HoldBody: func(bytes int64) (func(), bool) {
+					asked = bytes
+					return func() {}, false
+				},
+			})
+			Expect(answer.Reason).To(Equal(ibismessage.ReasonMemory))
+			Expect(answer.Outcome).To(Equal(ibisid.OutcomeNotRun))
+			Expect(answer.RetryAfter).To(BeNumerically(">", 0))
+			Expect(asked).To(Equal(wants))
+			Expect(body.Len()).To(Equal(100))
+			Expect(p.sent).To(BeEmpty())
+		},
+		Entry("of known length", 60, int64(61)),
+		Entry("that streams", 70_000, int64(4<<10)),
+		Entry("of unknown length", -1, int64(2*(64<<10+1))),
+	)
+
+	It("gives back what it held of a body once the request has been answered", func() {
+		p.answer = func(int, ibisid.NodeName) ibismessage.Answer { return done(200, "whole") }
+		held := int64(0)
+		answer := dispatcher.Serve(context.Background(), ibisdispatch.Request{
+			ID: "r1", Method: http.MethodPost, URI: "/order/1", Path: "/order/1", Host: "mats.example",
+			Arrived: clock.Now(), Length: 3, Body: strings.NewReader("abc"), CallerTimeout: 5 * time.Second,
+			HoldBody: func(bytes int64) (func(), bool) {
+				held += bytes
+				return func() { held -= bytes }, true
+			},
+		})
+		Expect(answer.Outcome).To(Equal(ibisid.OutcomeDone))
+		Expect(held).To(BeZero())
+	})
+
 	It("refuses a body that is longer than allowed before reading it", func() {
 		answer := dispatcher.Serve(context.Background(), ibisdispatch.Request{
 			ID: "r1", Method: http.MethodPost, URI: "/order/1", Path: "/order/1", Host: "mats.example",
--- a/internal/relay/ibisdispatch/plan.go
+++ b/internal/relay/ibisdispatch/plan.go
@@ -1,6 +1,7 @@
 package ibisdispatch
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -21,6 +22,27 @@
 // bodyTooLong returns the error of a body of unknown length that exceeds the limit in bytes.
 func bodyTooLong(limit int64) error { return fmt.Errorf("%w: more than %d bytes", errTooLong, limit) }
 
+// memoryRetryAfter is the retry-after time of a request whose body does not fit into the memory: what holds it are requests that end
+// or are cut off within about that time.
+const memoryRetryAfter = time.Second
+
+// readAllFactor is how many bytes a body of unknown length takes at most for each of its own, since its buffer doubles as it grows.
+const readAllFactor = 2
+
+// holdBody counts what readBody will hold of the body, before it reads any of it, and reports whether that fits.
+func holdBody(r Request, limit int64) (release func(), ok bool) {
+	if r.HoldBody == nil || r.Body == nil || r.Length == 0 || limit > 0 && r.Length > limit {
+		return func() {}, true
+	}
+	switch {
+	case r.Length < 0:
+		return r.HoldBody(readAllFactor * (maxBufferedBodyBytes + 1))
+	case r.Length > maxBufferedBodyBytes:
+		return r.HoldBody(ibisquarantine.BodyBytes)
+	}
+	return r.HoldBody(r.Length + 1)
+}
+
 // readBody returns a body of up to maxBufferedBodyBytes in memory; for a longer one it returns the beginning and a reader of the rest.
 // It fails if the body, as far as it is known, is longer than the limit in bytes, where zero means no limit, or if reading
 // fails.
@@ -35,7 +57,13 @@
 	if r.Length > maxBufferedBodyBytes {
 		held = ibisquarantine.BodyBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, held))
+	var buffer bytes.Buffer
+	if r.Length > 0 && r.Length <= maxBufferedBodyBytes {
+		// The buffer reads on for the end while it has room, and would grow without.
+		buffer.Grow(int(r.Length) + bytes.MinRead)
+	}
+	_, err := buffer.ReadFrom(io.LimitReader(r.Body, held))
+	body := buffer.Bytes()
 	if err != nil {
 		return nil, nil, fmt.Errorf("read the request body: %w", err)
 	}
--- a/internal/relay/ibisdispatch/request.go
+++ b/internal/relay/ibisdispatch/request.go
@@ -29,6 +29,9 @@
 	Body io.Reader
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
+	// HoldBody counts bytes of the body that are to be held in memory, if they fit, and returns the function that gives them
+	// back; nil for no bound.
+	HoldBody func(bytes int64) (release func(), ok bool)
 	// Origin is the service of the instance where the request began.
 	Origin ibisid.ServiceName
 	// CallerTimeout is how long the caller waits for the answer; zero if it does not state it.
--- a/internal/relay/ibisforward/server.go
+++ b/internal/relay/ibisforward/server.go
@@ -49,11 +49,7 @@
 			w.Header()["Connection"] = []string{"close"}
 		}
 		if answer.Outcome != ibisid.OutcomeDone {
-			w.Header()[headerAnswer] = []string{encodeAnswer(answer)}
-			w.Header()["Date"] = nil
-			w.Header()["Content-Length"] = []string{"0"}
-			w.WriteHeader(http.StatusServiceUnavailable)
-			_ = Flush(r.Context(), w)
+			WriteRefusal(r.Context(), w, answer)
 			body.DiscardRest()
 			return
 		}
@@ -80,6 +76,15 @@
 	})
 }
 
+// WriteRefusal writes an answer that is not one of a backend server.
+func WriteRefusal(ctx context.Context, w http.ResponseWriter, answer ibismessage.Answer) {
+	w.Header()[headerAnswer] = []string{encodeAnswer(answer)}
+	w.Header()["Date"] = nil
+	w.Header()["Content-Length"] = []string{"0"}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = Flush(ctx, w)
+}
+
 // rateLimitedBody reads a body at the rate that a rate limiter allows.
 type rateLimitedBody struct {
 	io.ReadCloser
--- a/internal/relay/ibismessage/answer.go
+++ b/internal/relay/ibismessage/answer.go
@@ -58,6 +58,8 @@
 	ReasonNoConfig Reason = "noConfig"
 	// ReasonInternal means that the node failed by a fault of its own while it handled the request.
 	ReasonInternal Reason = "internal"
+	// ReasonMemory means that the request does not fit into the memory that clients may hold at present.
+	ReasonMemory Reason = "memory"
 	// ReasonBadRequest means that the request is malformed.
 	ReasonBadRequest Reason = "badRequest"
 )
--- a/internal/relay/ibisneighbor/fallbackserver.go
+++ b/internal/relay/ibisneighbor/fallbackserver.go
@@ -142,12 +142,28 @@
 
 // FallbackHandler serves other nodes' calls of the store and passes all other requests to the next handler. The store must
 // call the platform directly and not be a FallbackStore, so that no call is forwarded twice.
-func FallbackHandler(store ibisstore.Store, next http.Handler, log *zap.Logger) http.Handler {
+func FallbackHandler(store ibisstore.Store, next http.Handler, log *zap.Logger, options ...FallbackOption) http.Handler {
+	calls := callHandler(store, log)
+	for _, o := range options {
+		calls = o(calls)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(headerStore) == "" {
 			next.ServeHTTP(w, r)
 			return
 		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
+// FallbackOption changes a FallbackHandler.
+type FallbackOption func(calls http.Handler) http.Handler
+
+// WithCallHandler wraps the handler of calls of the store, whose bodies are read into memory.
+func WithCallHandler(wrap func(calls http.Handler) http.Handler) FallbackOption { return wrap }
+
+func callHandler(store ibisstore.Store, log *zap.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var call wireCall
 		if err := json.NewDecoder(io.LimitReader(r.Body, maxCallBytes)).Decode(&call); err != nil {
 			log.Warn("rejecting a malformed call of the store from another node", zap.String("from", r.RemoteAddr), zap.Error(err))
