--- a/internal/measure/ibisabuse/abuse_test.go
+++ b/internal/measure/ibisabuse/abuse_test.go
@@ -21,11 +21,10 @@
 	"github.com/ibisridge/ibisridge/platform"
 )
 
+// crowd, memoryMb and maxFds were fixed on the code that bounded neither memory nor descriptors.
+var crowd, memoryMb, maxFds = 600, 48, 400
+
 const (
-	// crowd, memoryMb and maxFds were fixed on the code that bounded neither memory nor descriptors.
-	crowd    = 600
-	memoryMb = 48
-	maxFds   = 400
 	// answerBytes is the length of an ordinary answer.
 	answerBytes = 30_000
 	// sendTime is how long a crowd may take to send, and holdTime how long it stays on afterwards.
@@ -40,10 +39,19 @@
 
 var program string
 
-// programVariable names a built program to test in place of this version's.
-const programVariable = "IBISABUSE_PROGRAM"
+const (
+	// programVariable names a built program to test in place of this version's.
+	programVariable = "IBISABUSE_PROGRAM"
+	// sizeVariable sets another crowd, memory and number of descriptors for runs by hand, as in "2500 184 4100".
+	sizeVariable = "IBISABUSE_SIZE"
+)
 
 func TestMain(m *testing.M) {
+	if size := os.Getenv(sizeVariable); size != "" {
+		if _, err := fmt.Sscan(size, &crowd, &memoryMb, &maxFds); err != nil {
+			panic(err)
+		}
+	}
 	if program = os.Getenv(programVariable); program != "" {
 		os.Exit(m.Run())
 	}
@@ -62,7 +70,7 @@
 
 // relay is the program with a store and a backend server beside it.
 type relay struct {
-	*testing.T
+	testing.TB
 	file    string
 	command *exec.Cmd
 	exited  chan struct{}
@@ -76,7 +84,7 @@
 	`"clusters":[{"name":"desk","healthPath":"/health","maxConnections":64,"coldStartS":1,"coldPerS":1000}]}`
 
 // newRelay starts the store and the backend server, and the program unless it is to be started later.
-func newRelay(t *testing.T) *relay {
+func newRelay(t testing.TB) *relay {
 	store := ibisrowstore.New()
 	store.Put("op", "", "config", []byte(config))
 	storeServer := httptest.NewServer(ibisrowstore.NewServer(store, 1))
@@ -112,7 +120,7 @@
 		t.Fatal(err)
 	}
 	r := &relay{
-		T:    t,
+		TB:   t,
 		file: filepath.Join(t.TempDir(), "settings.json"),
 	}
 	if err := os.WriteFile(r.file, text, 0o600); err != nil {
