soak: clients that hold connections and bytes while faults are injected

Config.Misbehaving starts such a crowd (ibisabuse) at the ports for callers, readiness and heartbeats of all nodes, whose processes then have the 184 MB and 4,100 descriptors of the smallest instances. The test runs it with 200 clients. Runs without it draw the same faults as before.

--- a/internal/measure/ibissoak/node.go
+++ b/internal/measure/ibissoak/node.go
@@ -25,6 +25,9 @@
 	workTime     = 15 * time.Millisecond
 	bodyBytes    = 3000
 	graceTime    = 6 * time.Second
+	// smallMemoryMb and smallMaxFds are those of the smallest instances.
+	smallMemoryMb = 184
+	smallMaxFds   = 4100
 )
 
 // node is one instance: a process of the program, a backend server beside it, and the proxies on its links.
@@ -64,21 +67,21 @@
 	portStoreProxy
 )
 
-func newNode(index int, dir, program, store string, byCall bool, ledger *ibisapp.Ledger) (*node, error) {
+func newNode(index int, config Config, byCall bool, ledger *ibisapp.Ledger) (*node, error) {
 	n := &node{
 		name:    fmt.Sprintf("node-%d", index),
 		domain:  fmt.Sprintf("domain-%d", index%3),
 		service: serviceDesk,
 		ip:      fmt.Sprintf("127.0.77.%d", index+1),
 		ledger:  ledger,
-		program: program,
+		program: config.Program,
 		byCall:  byCall,
 	}
 	if index%2 == 1 {
 		n.service = serviceFloor
 	}
 	var err error
-	if n.store, err = newProxy(n.address(portStoreProxy), store); err != nil {
+	if n.store, err = newProxy(n.address(portStoreProxy), storeAddress); err != nil {
 		return nil, err
 	}
 	if n.peers, err = newProxy(n.address(portNodesProxy), n.address(portNodes)); err != nil {
@@ -101,15 +104,18 @@
 		HeartbeatMs:    int(heartbeat.Milliseconds()),
 		StoreAddress:   n.store.address(),
 	}
+	if config.Misbehaving > 0 {
+		settings.MemoryMb, settings.MaxFds = smallMemoryMb, smallMaxFds
+	}
 	text, err := json.Marshal(settings)
 	if err != nil {
 		return nil, err
 	}
-	n.file = filepath.Join(dir, n.name+".json")
+	n.file = filepath.Join(config.Dir, n.name+".json")
 	if err := os.WriteFile(n.file, text, 0o600); err != nil {
 		return nil, err
 	}
-	n.log, err = os.Create(filepath.Join(dir, n.name+".log"))
+	n.log, err = os.Create(filepath.Join(config.Dir, n.name+".log"))
 	return n, err
 }
 
--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/ibisridge/ibisridge/internal/measure/ibisabuse"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisrange"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisapp"
 	"github.com/ibisridge/ibisridge/internal/standin/ibisrowstore"
@@ -19,6 +20,7 @@
 
 const (
 	storeAddress = "127.0.77.250:7100"
+	crowdAddress = "127.0.77.251"
 	// startLimit is how long the nodes may take until they serve at first.
 	startLimit = 20 * time.Second
 	// recoverLimit is how long after the last fault every key must be held and requests be served again: a lapsed lease's
@@ -45,6 +47,9 @@
 	// ServerFaults adds backend servers that name a rate limit, or say that they leave, in their answers alone, and requests that end
 	// the servers that run them, one of them after the recovery. A seed draws other faults with it than without.
 	ServerFaults bool
+	// Misbehaving is the number of clients that hold connections and bytes at all nodes while faults are injected. The processes
+	// then have the memory and descriptors of the smallest instances.
+	Misbehaving int
 	// PromisesOnly leaves out what depends on the machine's speed: how soon the system is whole again and final answers come.
 	PromisesOnly bool
 	// Dir is where settings and logs are written; they are kept.
@@ -127,7 +132,7 @@
 func (s *soak) start() error {
 	s.configure(90, 10)
 	for i := range s.config.Nodes {
-		n, err := newNode(i, s.config.Dir, s.config.Program, storeAddress, s.byCall(), s.ledger)
+		n, err := newNode(i, s.config, s.byCall(), s.ledger)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", i, err)
 		}
@@ -177,9 +182,11 @@
 			s.wg.Go(func() { c.run(calling) })
 		}
 	}
+	crowd := s.startCrowd()
 	faulty, cancel := context.WithTimeout(ctx, s.config.Faulty)
 	s.injectAll(faulty)
 	cancel()
+	crowd.End()
 	s.heal()
 	recovered, ok := s.awaitWhole(recoverLimit)
 	if !ok && !s.config.PromisesOnly {
@@ -209,6 +216,25 @@
 	}, ctx.Err()
 }
 
+// startCrowd starts the clients that misbehave, at the ports of all nodes for callers, readiness and heartbeats. Their requests carry no
+// id, so that no backend server runs them.
+func (s *soak) startCrowd() *ibisabuse.Crowd {
+	var targets []ibisabuse.Target
+	for _, n := range s.nodes {
+		for _, port := range []int{portCallers, portReadiness, portHeartbeats} {
+			targets = append(targets, ibisabuse.Target{
+				Address: n.address(port),
+				Head: ibisabuse.Head{
+					Host:       "soak.example",
+					Path:       "/look/crowd",
+					BodyMethod: http.MethodPost,
+				},
+			})
+		}
+	}
+	return ibisabuse.Start(crowdAddress, s.config.Misbehaving, targets, ibisabuse.Kinds())
+}
+
 func (s *soak) tally() *tally {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/measure/ibissoak/soak_test.go
+++ b/internal/measure/ibissoak/soak_test.go
@@ -18,14 +18,18 @@
 	if out, err := exec.Command("go", "build", "-o", program, "github.com/ibisridge/ibisridge/cmd/ibisridge").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	for _, serverFaults := range []bool{false, true} {
+	for _, run := range []struct {
+		serverFaults bool
+		misbehaving  int
+	}{{}, {serverFaults: true}, {misbehaving: 200}} {
 		result, err := ibissoak.Run(context.Background(), ibissoak.Config{
 			Program:      program,
 			Seed:         1,
 			Nodes:        4,
 			Faulty:       5 * time.Second,
 			Dir:          t.TempDir(),
-			ServerFaults: serverFaults,
+			ServerFaults: run.serverFaults,
+			Misbehaving:  run.misbehaving,
 			PromisesOnly: true,
 		})
 		if err != nil {
@@ -33,7 +37,7 @@
 		}
 		if len(result.Broken) > 0 || result.Runs == 0 {
 			result.Write(os.Stdout, 1)
-			t.Errorf("server faults %t: %d promises were broken, %d runs", serverFaults, len(result.Broken), result.Runs)
+			t.Errorf("%+v: %d promises were broken, %d runs", run, len(result.Broken), result.Runs)
 		}
 	}
 }
