--- a/internal/measure/ibisabuse/abuse_test.go
+++ b/internal/measure/ibisabuse/abuse_test.go
@@ -32,11 +32,11 @@
 	holdTime = 700 * time.Millisecond
 	// waitTime is after how long the process counts as hung.
 	waitTime = 40 * time.Second
-
-	local   = "127.0.79.1"
-	clients = "127.0.79.200"
 )
 
+// local is the address of the relay and of all beside it, clients that of the crowd.
+var local, clients = "127.0.79.1", "127.0.79.200"
+
 var program string
 
 const (
@@ -44,9 +44,16 @@
 	programVariable = "IBISABUSE_PROGRAM"
 	// sizeVariable sets another crowd, memory and number of descriptors for runs by hand, as in "2500 184 4100".
 	sizeVariable = "IBISABUSE_SIZE"
+	// addressesVariable sets other addresses for runs by hand beside each other, as in "127.0.80.1 127.0.80.200".
+	addressesVariable = "IBISABUSE_ADDRESSES"
 )
 
 func TestMain(m *testing.M) {
+	if addresses := os.Getenv(addressesVariable); addresses != "" {
+		if _, err := fmt.Sscan(addresses, &local, &clients); err != nil {
+			panic(err)
+		}
+	}
 	if size := os.Getenv(sizeVariable); size != "" {
 		if _, err := fmt.Sscan(size, &crowd, &memoryMb, &maxFds); err != nil {
 			panic(err)
