--- a/internal/program/ibiscli/explain.go
+++ b/internal/program/ibiscli/explain.go
@@ -79,6 +79,7 @@
 	"noRoute":          "no route matches host and path",
 	"internal":         "the node failed by a fault of its own; its log has the stack: it may have run",
 	"faultyRoute":      "the configuration of the matching route can't be used; the log line of the configuration says why",
+	"memory":           "the request did not fit into the memory that clients may hold at the node",
 	"noConfig":         "the node knew no configuration yet",
 	"configUnverified": "no route matches, and no other node said in time whether it had a newer configuration",
 	"tooLong":          "the body is longer than the configuration allows",
