--- a/internal/measure/ibissoak/soak_test.go
+++ b/internal/measure/ibissoak/soak_test.go
@@ -18,15 +18,19 @@
 	if out, err := exec.Command("go", "build", "-o", program, "github.com/ibisridge/ibisridge/cmd/ibisridge").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	for _, with := range []struct{ serverFaults, accounts bool }{{}, {serverFaults: true}, {serverFaults: true, accounts: true}} {
+	for _, run := range []struct {
+		serverFaults, accounts bool
+		misbehaving            int
+	}{{}, {serverFaults: true}, {serverFaults: true, accounts: true}, {misbehaving: 200}} {
 		result, err := ibissoak.Run(context.Background(), ibissoak.Config{
 			Program:      program,
 			Seed:         1,
 			Nodes:        4,
 			Faulty:       5 * time.Second,
 			Dir:          t.TempDir(),
-			ServerFaults: with.serverFaults,
-			Accounts:     with.accounts,
+			ServerFaults: run.serverFaults,
+			Accounts:     run.accounts,
+			Misbehaving:  run.misbehaving,
 			PromisesOnly: true,
 		})
 		if err != nil {
@@ -34,7 +38,7 @@
 		}
 		if len(result.Broken) > 0 || result.Runs == 0 {
 			result.Write(os.Stdout, 1)
-			t.Errorf("%+v: %d promises were broken, %d runs", with, len(result.Broken), result.Runs)
+			t.Errorf("%+v: %d promises were broken, %d runs", run, len(result.Broken), result.Runs)
 		}
 	}
 }
--- a/internal/program/ibiscli/explain.go
+++ b/internal/program/ibiscli/explain.go
@@ -81,6 +81,7 @@
 	"noRoute":          "no route matches host and path",
 	"internal":         "the node failed by a fault of its own; its log has the stack: it may have run",
 	"faultyRoute":      "the configuration of the matching route can't be used; the log line of the configuration says why",
+	"memory":           "the request did not fit into the memory that clients may hold at the node",
 	"noConfig":         "the node knew no configuration yet",
 	"unauthorized":     "it carried no key of an account, or an unknown or removed one",
 	"faultyAccount":    "its key can't be assigned to one account; the log line of the configuration says why",
--- a/internal/relay/ibisdispatch/dispatcher.go
+++ b/internal/relay/ibisdispatch/dispatcher.go
@@ -372,6 +372,11 @@
 func (d *Dispatcher) run(ctx context.Context, p plan) ibismessage.Answer {
 	request := p.request
 	limit := p.config.Limits().BodyBytes
+	release, ok := holdBody(request, limit)
+	if !ok {
+		return ibismessage.NotRun(ibismessage.ReasonMemory, d.retryAfter(memoryRetryAfter), nil)
+	}
+	defer release()
 	body, rest, err := readBody(request, limit)
 	if err != nil {
 		reason := ibismessage.ReasonBadRequest
