--- a/internal/program/ibiscli/explain.go
+++ b/internal/program/ibiscli/explain.go
@@ -71,6 +71,8 @@
 	"unreachable":      "no connection to the node could be opened",
 	"connections":      "the backend server takes no more connections",
 	"quarantined":      "several backend servers ended while they had this request, so that it is not run",
+	"serverReset":      "the backend server reset the connection while all its slots were in use: it may have run",
+	"calls":            "requests of the class fail at this gate because their calls to other services fail",
 	"serverCrashed":    "the backend server ended while it had the request: it may have run",
 	"broken":           "the connection or the answer broke after the request was sent: it may have run",
 	"cancelled":        "the caller left",
