--- a/internal/program/ibiscli/explain.go
+++ b/internal/program/ibiscli/explain.go
@@ -55,8 +55,6 @@
 var causes = map[string]string{
 	"target":           "the gate had no slot in time for the target, and other requests could still be served in time",
 	"deadline":         "the deadline passed, or would have before an answer",
-	"calls":            "runs of the class failed because their calls to other services failed; the gate admits no more than succeed",
-	"serverReset":      "the backend server reset the connection since it was full; the request may have run",
 	"link":             "the answer would have come past its target behind the long answers that wait for the node's link",
 	"rate":             "the tenant sent more than its rate",
 	"slow":             "the backend server answered far slower than usual",
