--- a/internal/request/ibisadmit/callbound.go
+++ b/internal/request/ibisadmit/callbound.go
@@ -21,7 +21,7 @@
 	minCallFailures = 3
 	// minCallEnds is the number of runs that ended below which a share is an underestimate: runs that fail end sooner than others.
 	minCallEnds = 6
-	// sureCallEnds is the number of runs that ended from which a share below mostFail counts.
+	// sureCallEnds is the number of runs that ended from which a share counts although the callee is not full.
 	sureCallEnds = 20
 	// minCallShare of the requests that arrive, and minCallRate a second at least, are admitted of a class whose calls all fail, since
 	// only its runs show when the calls are answered again.
@@ -30,8 +30,8 @@
 	// callMargin times the rate of the runs that did not fail is admitted after failures, since the room at the callee varies.
 	callMargin = 0.95
 	// smallGrowth and largeGrowth are the first growth of a bound in one step after some or most of the runs failed; it doubles with each
-	// further step without a failure, up to maxGrowth. So a bound that has admitted
-	// minCallShare admits everything again after three steps.
+	// further step without a failure, up to maxGrowth. So a bound that has admitted minCallShare admits everything again after three
+	// steps.
 	smallGrowth = 0.01
 	largeGrowth = 1.0
 	maxGrowth   = 3.0
