Review case 7: a ping that names no backend server moves its keys

One ping of another writer, with fields missing and a service that is in no configuration, is taken for the first one of a newer run of the backend server. Two others are granted its keys while it is healthy, holds them for five more seconds and works on one of them, and its own pings renew nothing from then on.

This replaces the case of a ping without holds under the id of a draining server, which had the same cause in part; the late ping is case 8 now.

--- a/review/_probe/backend_test.go
+++ b/review/_probe/backend_test.go
@@ -29,11 +29,12 @@
 	address string
 	control string
 	born    int64
-	byCall  bool
-	http    *http.Server
-	listen  net.Listener
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// grants is how keys are granted to the server.
+	grants string
+	http   *http.Server
+	listen net.Listener
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	// All below is guarded by the lock of the judge.
 
@@ -46,12 +47,14 @@
 	holds  []hold
 	freed  [][3]any
 	runs   []run
+	// leftAt is when the node acknowledged that the server leaves.
+	leftAt time.Time
 	// onAck is called after an acknowledged ping, and onBegin when a request begins.
 	onAck, onBegin func()
 }
 
 // newBackend returns a backend server beside a node, whose port is open.
-func (w *world) newBackend(n *node, id string, grantedByCall bool) (*backend, error) {
+func (w *world) newBackend(n *node, id, grants string) (*backend, error) {
 	listener, err := net.Listen("tcp4", n.backend)
 	if err != nil {
 		return nil, fmt.Errorf("%w: backend server: %w", errSetup, err)
@@ -63,7 +66,7 @@
 		address: n.backend,
 		control: n.control,
 		born:    time.Now().UnixMilli(),
-		byCall:  grantedByCall,
+		grants:  grants,
 		listen:  listener,
 		ctx:     ctx,
 		cancel:  cancel,
@@ -138,7 +141,7 @@
 		"info":    map[string]any{"service": service, "version": "v1", "zone": "z", "slots": 12},
 		"status":  map[string]any{"state": state, "seq": b.seq, "coldLeftMs": 0},
 	}
-	if !b.byCall {
+	if b.grants == byHeartbeat {
 		held := [][3]uint64{}
 		for _, h := range b.holds {
 			held = append(held, [3]uint64{uint64(h.from), uint64(h.to), h.fence})
@@ -187,7 +190,11 @@
 // deregister says that the server leaves, and reports whether that was acknowledged.
 func (b *backend) deregister() bool {
 	b.with(func() { b.silent = true })
-	return b.tell(b.ctx, http.MethodDelete, map[string]any{"born": b.born}, nil) == nil
+	acked := b.tell(b.ctx, http.MethodDelete, map[string]any{"born": b.born}, nil) == nil
+	if acked {
+		b.with(func() { b.leftAt = time.Now() })
+	}
+	return acked
 }
 
 // tell sends a call about the server to the control address; it fails without an answer within a second.
@@ -400,11 +407,13 @@
 func (b *backend) begin(id string, key int, method string, left int) (ok bool) {
 	b.with(func() {
 		var h hold
-		if h, ok = b.holdOf(key, time.Now()); !ok {
+		if h, ok = b.holdOf(key, time.Now()); !ok && b.grants != withoutKeys {
 			return
 		}
+		ok = true
 		b.world.line("%s begins %s %s on key %d under epoch %d with %d ms left", b.id, method, id, key, h.fence, left)
 		b.world.judge.begin(b, key)
+		b.world.judge.checkLeaving(b, id)
 		b.runs = append(b.runs, run{
 			id:    id,
 			key:   key,
--- a/review/_probe/cases_test.go
+++ b/review/_probe/cases_test.go
@@ -98,7 +98,7 @@
 	w.line("%s (born %d) crashes", a.id, a.born)
 	a.crash()
 	time.Sleep(300 * time.Millisecond)
-	b, err := w.newBackend(n, "i-2b", true)
+	b, err := w.newBackend(n, "i-2b", byCall)
 	if err != nil {
 		return err
 	}
@@ -113,8 +113,9 @@
 	return nil
 }
 
-// incompletePing plays a backend server that drains while it works on a request, and a ping of another writer that lacks fields.
-func incompletePing(w *world) error {
+// foreignPing plays a ping of another writer that names no backend server to use: it lacks fields, and its service is in no
+// configuration.
+func foreignPing(w *world) error {
 	if err := w.start(byHeartbeat); err != nil {
 		return err
 	}
@@ -129,28 +130,74 @@
 	go func() {
 		w.post(entry, request{
 			id:     "first",
-			path:   "/pufi791/1?work=3000",
+			path:   "/pufi791/1?work=2400",
 			key:    watchedKey,
-			budget: 5 * time.Second,
+			budget: 4 * time.Second,
 		})
 		close(sent)
 	}()
 	<-began
-	a.with(func() { a.leaving = true })
-	w.line("%s says from now on that it drains", a.id)
-	time.Sleep(1600 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
 	if w.trouble {
+		other := &backend{
+			id:      "qx07-1",
+			control: a.control,
+		}
 		body := map[string]any{
 			"address": a.address,
-			"born":    a.born,
+			"born":    time.Now().UnixMilli(),
 			"info":    map[string]any{"service": "qx07", "slots": 12},
-			"status":  map[string]any{"state": "in_service", "seq": 1000},
+			"status":  map[string]any{"state": "draining", "seq": 1},
 		}
-		err := a.tell(context.Background(), http.MethodPut, body, nil)
-		w.line("a ping of another writer for %s, without holds and of a service that isn't named: %v, error %v", a.id, body, err)
+		err := other.tell(context.Background(), http.MethodPut, body, nil)
+		w.line("a ping of another writer, %s, for the address of %s: %v, error %v", other.id, a.id, body, err)
+	}
+	for i := range 6 {
+		time.Sleep(600 * time.Millisecond)
+		w.post(entry, request{
+			id:     fmt.Sprintf("later-%d", i),
+			path:   "/pufi791/2",
+			key:    watchedKey,
+			budget: time.Second,
+		})
 	}
 	<-sent
-	time.Sleep(time.Second)
+	return nil
+}
+
+// forgottenLeaving plays a backend server that deregisters and serves on for a while, a node that is killed just after it has acknowledged
+// that, and a ping from before that is on its way for seconds.
+func forgottenLeaving(w *world) error {
+	const late = 7500 * time.Millisecond
+	if err := w.start(withoutKeys); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	a, n := w.backends[1], w.nodes[1]
+	if w.trouble {
+		a.pingLate(late)
+	}
+	w.line("%s leaves; its DELETE is acknowledged: %t", a.id, a.deregister())
+	time.Sleep(100 * time.Millisecond)
+	w.line("%s is killed", n.name)
+	n.kill()
+	time.Sleep(300 * time.Millisecond)
+	if err := n.start(); err != nil {
+		return err
+	}
+	w.line("%s is started again", n.name)
+	for i, end := 0, time.Now().Add(10*time.Second); time.Now().Before(end); i++ {
+		go w.post(n, request{
+			id:     fmt.Sprintf("order-%d", i),
+			path:   "/pufi791/1?work=900",
+			key:    watchedKey,
+			budget: 2 * time.Second,
+		})
+		time.Sleep(200 * time.Millisecond)
+	}
+	w.line("%s exits", a.id)
+	a.crash()
+	time.Sleep(2 * time.Second)
 	return nil
 }
 
--- a/review/_probe/probe_test.go
+++ b/review/_probe/probe_test.go
@@ -18,10 +18,11 @@
 
 // cases are the cases by the names of their folders.
 var cases = map[string]func(w *world) error{
-	"6": leavingHolder,
-	"7": latePing,
-	"8": incompletePing,
-	"9": slowReader,
+	"6":  leavingHolder,
+	"7":  foreignPing,
+	"8":  latePing,
+	"9":  slowReader,
+	"10": forgottenLeaving,
 }
 
 // Exit codes.
--- a/review/_probe/world_test.go
+++ b/review/_probe/world_test.go
@@ -102,37 +102,41 @@
 	"galle-a":   "southern",
 }
 
-// config is the operator's configuration; GRANTS is how keys are granted.
+// config is the operator's configuration; KEYS says whether the service is divided by key, and how keys are granted.
 const config = `{"version":"00000007","limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "listeners":[{"host":"ficu95.example","ruleSet":[
 {"name":"renewal","kind":"non_idempotent","targetLatencyMs":800,"priority":1,"match":{"prefix":"/pufi791/"},
 "action":{"service":"wuno96b","timeoutMs":5000,"maxAttempts":2,"allowedRegions":[]}},
 {"name":"export","kind":"download","targetLatencyMs":800,"priority":2,"match":{"prefix":"/pule252/"},
 "action":{"service":"wuno96b","timeoutMs":5000,"maxAttempts":2,"allowedRegions":[]}}]}],
-"clusters":[{"name":"wuno96b","healthPath":"/health","maxConnections":130,"protocol":"h1","tls":false,"coldStartS":0.1,"coldPerS":100.0,
-"sharded":true,"warmupS":2.0,"grants":"GRANTS"}]}`
+"clusters":[{"name":"wuno96b","healthPath":"/health","maxConnections":130,"protocol":"h1","tls":false,"coldStartS":0.1,"coldPerS":100.0,KEYS}]}`
 
-// deliveries of keys to backend servers.
+// How keys are granted to backend servers; withoutKeys means that the service is not divided by key.
 const (
+	withoutKeys = ""
 	byHeartbeat = "heartbeat"
 	byCall      = "call"
 )
 
 // start starts three nodes in three regions, with a backend server beside each, and waits until they serve.
 func (w *world) start(grants string) error {
-	w.store.Put("op", "", "config", []byte(strings.ReplaceAll(config, "GRANTS", grants)))
+	division := `"sharded":false`
+	if grants != withoutKeys {
+		division = fmt.Sprintf(`"sharded":true,"warmupS":2.0,"grants":%q`, grants)
+	}
+	w.store.Put("op", "", "config", []byte(strings.ReplaceAll(config, "KEYS", division)))
 	for i, domain := range []string{"kandy-a", "colombo-a", "galle-a"} {
 		n, err := w.addNode(fmt.Sprintf("node-%d", i+1), domain, grants)
 		if err != nil {
 			return err
 		}
-		b, err := w.newBackend(n, fmt.Sprintf("i-%d", i+1), grants == byCall)
+		b, err := w.newBackend(n, fmt.Sprintf("i-%d", i+1), grants)
 		if err != nil {
 			return err
 		}
 		b.serve()
 	}
-	return w.awaitWhole()
+	return w.awaitWhole(grants != withoutKeys)
 }
 
 // node is a process of the relay.
@@ -268,15 +272,15 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// awaitWhole waits until all nodes are ready and every key is held.
-func (w *world) awaitWhole() error {
+// awaitWhole waits until all nodes are ready and, with keys, every key is held.
+func (w *world) awaitWhole(withKeys bool) error {
 	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := true
 		for _, n := range w.nodes {
 			ready = ready && n.isReady()
 		}
-		if ready && w.judge.heldKeys() == keys {
-			w.line("all %d nodes are ready and all keys are held", len(w.nodes))
+		if ready && (!withKeys || w.judge.heldKeys() == keys) {
+			w.line("all %d nodes are ready and %d keys are held", len(w.nodes), w.judge.heldKeys())
 			return nil
 		}
 	}
