--- a/review/_probe/world_test.go
+++ b/review/_probe/world_test.go
@@ -114,7 +114,7 @@
 "action":{"service":"wuno96b","timeoutMs":5000,"maxAttempts":2,"allowedRegions":[]}},
 {"name":"export","kind":"download","targetLatencyMs":800,"priority":2,"match":{"prefix":"/pule252/"},
 "action":{"service":"wuno96b","timeoutMs":5000,"maxAttempts":2,"allowedRegions":[]}}]}],
-"clusters":[{"name":"wuno96b","healthPath":"/health","maxConnections":130,"protocol":"h1","tls":false,"coldStartS":0.1,"coldPerS":100.0,
+"clusters":[{"name":"wuno96b","healthPath":"/health","maxConnections":130,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":12.0,
 "sharded":true,"warmupS":2.0,"grants":"GRANTS"}]}`
 
 // How keys are granted to backend servers.
