Review: an address of its own for each run, and what a failed start saw

Case 8 could not run in 2 starts; which condition failed was not recorded, and 39 further starts did not show it.

--- a/review/_probe/world_test.go
+++ b/review/_probe/world_test.go
@@ -78,7 +78,7 @@
 
 // newWorld starts the store; program is the relay's node, and dir gets settings and logs.
 func newWorld(r *record, dir, program string) (*world, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", loopback+":0")
 	if err != nil {
 		return nil, fmt.Errorf("%w: store: %w", errSetup, err)
 	}
@@ -174,9 +174,12 @@
 	exited  chan struct{}
 }
 
-// freeAddress returns a loopback address with a port that is free now.
+// loopback is the loopback address of this run: its ports are not taken by other runs, or by connections that are opened from 127.0.0.1.
+var loopback = fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()>>8&0x3f, os.Getpid()&0xff)
+
+// freeAddress returns an address of this run with a port that is free now.
 func freeAddress() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", loopback+":0")
 	if err != nil {
 		panic(err)
 	}
@@ -197,7 +200,7 @@
 	}
 	text, err := json.Marshal(map[string]any{
 		"node":           name,
-		"address":        "127.0.0.1",
+		"address":        loopback,
 		"region":         regions[domain],
 		"domain":         domain,
 		"service":        service,
@@ -304,6 +307,10 @@
 			return nil
 		}
 	}
+	for _, n := range w.nodes {
+		w.line("%s is ready: %t", n.name, n.isReady())
+	}
+	w.copyLogs(`"level":"warn"`, `"level":"error"`, "error:", "call to the backend server")
 	return fmt.Errorf("%w: after %s nodes are not ready, or only %d of %d keys are held", errSetup, startLimit, w.judge.heldKeys(), keys)
 }
 
