--- a/internal/standin/ibisapp/heartbeat.go
+++ b/internal/standin/ibisapp/heartbeat.go
@@ -63,7 +63,7 @@
 	for _, h := range s.holds {
 		holds = append(holds, [3]any{h.from, h.to, h.token})
 	}
-	freed := slices.Clone(s.freed)
+	freed := append([][3]any{}, s.freed...)
 	body := map[string]any{
 		"address": s.config.Address,
 		"born":    s.born,
