ibisgate: reject announcements of another service than the node's

One of another service ended the node's work, gave its keys away by handovers and restarted its gate, until the next announcement of its own server.

TestAnnouncementOfAnotherService fails without it. A server of the own service that starts anew is taken at once, as before (same test).

Cost where the suspicion is wrong: a node whose backend server changes its service must be started anew; it served nothing of the other service before either.

--- a/internal/node/ibisgate/announce.go
+++ b/internal/node/ibisgate/announce.go
@@ -1,16 +1,22 @@
 package ibisgate
 
 import (
+	"fmt"
+
 	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
 
 // Announce applies an announcement of the backend server. A restarted server, or another address or capacity, restarts the
-// gate. It always returns nil.
+// gate. It fails if the announcement is of another service than the first one, and has no effect then: a node serves one service
+// only, so another writer has sent it.
 func (g *Gate) Announce(a ibisbackend.Announcement) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	previous := g.announcement
+	if g.core != nil && a.Service != previous.Service {
+		return fmt.Errorf("service %q: the backend server of this node is of service %q", a.Service, previous.Service)
+	}
 	g.announcement = a
 	g.announcedAt = g.timer.Now()
 	switch {
