Test that answers without end fill no memory, in a head or in a body

Operators of a system like ours reported a faulty backend server that sent bytes without end in place of an answer; the process that had called it kept them all and ended, and the requests of its other callers with it.

Result: it does not happen here. The client of the other runtime keeps no more than its limit of heads either.

--- a/internal/measure/ibisabuse/abuse_test.go
+++ b/internal/measure/ibisabuse/abuse_test.go
@@ -81,6 +81,7 @@
 	file    string
 	command *exec.Cmd
 	exited  chan struct{}
+	server  *ibisapp.Server
 	// peakKb and fds are the greatest memory in kB and number of descriptors that the processes were seen with.
 	peakKb, fds int
 }
@@ -148,6 +149,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r.server = server
 	t.Cleanup(server.Crash)
 	t.Cleanup(func() {
 		if r.command != nil {
@@ -309,6 +311,26 @@
 	r.check()
 }
 
+// TestEndlessAnswers guards against a backend server that sends bytes without end in place of an answer, in a head or in a body: a
+// process that keeps them exceeds its memory, and the requests of all its callers end with it.
+func TestEndlessAnswers(t *testing.T) {
+	for name, fault := range ibisapp.EndlessFaults() {
+		t.Run(name, func(t *testing.T) {
+			r := newRelay(t)
+			r.start()
+			r.awaitAnswer()
+			r.server.SetFault(fault)
+			c := ibisabuse.Start(clients, crowd, targets()[:2], ibisabuse.Askers())
+			defer c.End()
+			c.AwaitSent(sendTime)
+			r.watch(holdTime)
+			r.server.SetFault(ibisapp.FaultNone)
+			r.awaitAnswer()
+			r.check()
+		})
+	}
+}
+
 // TestWaveAfterRestart guards against clients that reach a process before it has a configuration, and so its limits.
 func TestWaveAfterRestart(t *testing.T) {
 	r := newRelay(t)
--- a/internal/measure/ibisabuse/kind.go
+++ b/internal/measure/ibisabuse/kind.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"time"
@@ -80,6 +81,30 @@
 	}
 }
 
+func sendOne(s sender) {
+	s.begin("GET")
+	_, _ = s.WriteString("\r\n")
+}
+
+func sendPipelined(s sender) {
+	for range pipelined {
+		sendOne(s)
+	}
+}
+
+// Askers returns ways to ask for an answer: some read it for as long as it lasts, the others don't.
+func Askers() []Kind {
+	return []Kind{
+		{Name: "answer read", send: func(s sender) {
+			sendOne(s)
+			_ = s.Flush()
+			_, _ = io.Copy(io.Discard, s.conn)
+		}},
+		{Name: "answer not read", send: sendOne},
+		{Name: "pipelined reads", send: sendPipelined},
+	}
+}
+
 // Kinds returns the kinds.
 func Kinds() []Kind {
 	return []Kind{
@@ -108,12 +133,7 @@
 			s.begin("GET")
 			s.fields(fieldBytes)
 		}},
-		{Name: "pipelined reads", send: func(s sender) {
-			for range pipelined {
-				s.begin("GET")
-				_, _ = s.WriteString("\r\n")
-			}
-		}},
+		{Name: "pipelined reads", send: sendPipelined},
 		{Name: "slow head", send: func(s sender) {
 			s.begin("GET")
 			s.drip("a:b\r\n")
@@ -123,10 +143,7 @@
 			_, _ = fmt.Fprintf(s, "Content-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat(filler, bodyBytes-1000))
 			s.drip(filler)
 		}},
-		{Name: "answer not read", send: func(s sender) {
-			s.begin("GET")
-			_, _ = s.WriteString("\r\n")
-		}},
+		{Name: "answer not read", send: sendOne},
 		{Name: "expects 100-continue", send: func(s sender) {
 			s.begin(s.head.BodyMethod)
 			_, _ = fmt.Fprintf(s, "Expect: 100-continue\r\nContent-Length: %d\r\n\r\n", bodyBytes)
--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -154,11 +156,11 @@
 		s.note(nil, 0, "configuration changes")
 		s.configure(first, 100-first)
 	case 13:
-		fault := ibisapp.FaultEndlessHead
-		if s.random.IntN(2) == 0 {
-			fault = ibisapp.FaultEndlessBody
-		}
-		s.note(n, span, "%s: backend server sends answers without end for %s, in the body: %t", n.name, span, fault == ibisapp.FaultEndlessBody)
+		faults := ibisapp.EndlessFaults()
+		names := slices.Sorted(maps.Keys(faults))
+		name := names[s.random.IntN(len(names))]
+		fault := faults[name]
+		s.note(n, span, "%s: backend server sends answers without end for %s: %s", n.name, span, name)
 		s.during(ctx, span, func() { n.current().SetFault(fault) }, func() { n.current().SetFault(ibisapp.FaultNone) })
 	case 14:
 		perSecond := 5 + 20*s.random.Float64()
--- a/internal/peer/ibisbackend/send_test.go
+++ b/internal/peer/ibisbackend/send_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
+	"github.com/ibisridge/ibisridge/internal/standin/ibisapp"
 	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
 
@@ -199,6 +200,34 @@
 		Entry("that says that it did not run", "HTTP/1.1 503 No\r\nX-Ibis-Not-Run: true\r\nContent-Length: 0\r\n\r\n"),
 	)
 
+	// Guards against bytes without end that are no answer and fill the memory of the node.
+	It("keeps nothing of an answer without end", func() {
+		address, err := ibistcp.FreeAddress("127.0.0.1")
+		Expect(err).NotTo(HaveOccurred())
+		server, err := ibisapp.Start(ibisapp.Config{ID: "s1", Address: address, Control: address, Slots: 1, Queue: 1, Heartbeat: time.Hour}, ibisapp.NewLedger())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Crash)
+		client := ibisbackend.NewClient(address, 1)
+		DeferCleanup(client.Close)
+		for name, fault := range ibisapp.EndlessFaults() {
+			server.SetFault(fault)
+			request := newRequest(http.MethodGet, nil)
+			request.Header = http.Header{"Attempt-Id": {"r1"}, "Time-Remaining-Ms": {"10000"}}
+			request.Deadline = time.Now().Add(10 * time.Second)
+			result := client.Send(ctx, request)
+			Expect(time.Now()).To(BeTemporally("<", request.Deadline), name)
+			if result.Outcome != ibisid.OutcomeDone {
+				Expect(result.Outcome).To(Equal(ibisid.OutcomeUnknown), name)
+				continue
+			}
+			Expect(result.Answer.Status()).To(Equal(http.StatusOK), name)
+			const read = 256 << 10
+			n, err := io.CopyN(io.Discard, result.Answer.Body(), read)
+			Expect(err != nil || n == read).To(BeTrue(), name)
+			Expect(result.Answer.Body().Close()).To(Succeed(), name)
+		}
+	})
+
 	It("removes hop-by-hop headers and headers that only a node may set", func() {
 		header := ibisbackend.EndToEndHeaders(newRequest(http.MethodGet, nil).Header)
 		Expect(header).To(Equal(http.Header{"Idempotency-Key": {"one"}}))
