--- a/internal/measure/ibissoak/fault.go
+++ b/internal/measure/ibissoak/fault.go
@@ -26,6 +26,8 @@
 	crashingTime    = 8 * time.Second
 	crashingPause   = 100 * time.Millisecond
 	crashingRestart = 10
+	// longestForeignGap is the longest time between two heartbeats of another writer.
+	longestForeignGap = 300 * time.Millisecond
 	// maxFurtherSignals is the greatest number of signals that a process gets while it stops.
 	maxFurtherSignals = 4
 	// longestRewind is the greatest age of the copy from which the store comes back.
@@ -174,11 +176,26 @@
 		})
 	case 16:
 		path := fmt.Sprintf("%s%d", ibisapp.CrashPath, len(s.faults))
+		if len(s.faults)%2 == 1 {
+			path = fmt.Sprintf("%s%d", ibisapp.CrashMidwayPath, len(s.faults))
+		}
 		s.note(nil, crashingTime, "a request that ends the servers that run it, %s, is sent for %s", path, crashingTime)
 		s.injected.Go(func() { s.sendCrashing(ctx, path) })
 	}
 }
 
+// sendForeignHeartbeats sends heartbeats of another writer to the nodes, which must not heed them, until the context ends.
+func (s *soak) sendForeignHeartbeats(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.config.Seed, 7))
+	for ctx.Err() == nil {
+		n := s.nodes[random.IntN(len(s.nodes))]
+		if sent, err := n.current().SendForeignHeartbeat(random); err == nil {
+			s.foreign = append(s.foreign, fmt.Sprintf("%6.2f s  %s: heartbeat of another writer: %s", time.Since(s.began).Seconds(), n.name, sent))
+		}
+		ibistimer.Sleep(ctx, time.Duration(random.Int64N(int64(longestForeignGap))))
+	}
+}
+
 // sendCrashing sends a request that ends servers to one node after the other, and starts ended servers again after a while.
 func (s *soak) sendCrashing(ctx context.Context, path string) {
 	ctx, cancel := context.WithTimeout(ctx, crashingTime)
--- a/internal/measure/ibissoak/soak.go
+++ b/internal/measure/ibissoak/soak.go
@@ -47,6 +47,8 @@
 	// ServerFaults adds backend servers that name a rate limit, or say that they leave, in their answers alone, and requests that end
 	// the servers that run them, one of them after the recovery. A seed draws other faults with it than without.
 	ServerFaults bool
+	// ForeignHeartbeats adds heartbeats of another writer for the addresses of the backend servers while faults are injected.
+	ForeignHeartbeats bool
 	// Misbehaving is the number of clients that hold connections and bytes at all nodes while faults are injected. The processes
 	// then have the memory and descriptors of the smallest instances.
 	Misbehaving int
@@ -84,7 +86,9 @@
 	server       *ibisrowstore.Server
 	nodes        []*node
 	faults       []string
-	began        time.Time
+	// foreign lists what was sent by sendForeignHeartbeats.
+	foreign []string
+	began   time.Time
 
 	mu       sync.Mutex
 	counts   *tally
@@ -194,6 +198,9 @@
 	}
 	crowd := s.startCrowd()
 	faulty, cancel := context.WithTimeout(ctx, s.config.Faulty)
+	if s.config.ForeignHeartbeats {
+		s.injected.Go(func() { s.sendForeignHeartbeats(faulty) })
+	}
 	s.injectAll(faulty)
 	cancel()
 	crowd.End()
@@ -221,7 +228,7 @@
 	}
 	return Result{
 		Broken:    s.ledger.Broken(),
-		Faults:    s.faults,
+		Faults:    append(s.faults, s.foreign...),
 		During:    during.String(),
 		After:     after.String(),
 		Recovered: recovered,
--- a/internal/program/ibiscli/soak.go
+++ b/internal/program/ibiscli/soak.go
@@ -17,6 +17,8 @@
 	For   time.Duration `arg:"--for" default:"20s" help:"how long faults are injected"`
 	// ServerFaults adds the faults of ibissoak.Config.ServerFaults.
 	ServerFaults bool `arg:"--server-faults" help:"backend servers also name rate limits, say that they leave in their answers alone, and end under requests; a seed then draws other faults"`
+	// ForeignHeartbeats adds the heartbeats of ibissoak.Config.ForeignHeartbeats.
+	ForeignHeartbeats bool `arg:"--foreign-heartbeats" help:"another writer sends heartbeats for the addresses of the backend servers"`
 	// Accounts gives the configuration accounts with changing keys.
 	Accounts bool   `arg:"--accounts" help:"the configuration has accounts whose keys are replaced with each change; all output is searched for keys"`
 	Dir      string `arg:"--dir" placeholder:"DIR" help:"where settings and logs of the nodes are kept; a new temporary directory by default"`
@@ -48,13 +50,14 @@
 	for seed := c.Seed; seed < c.Seed+uint64(max(c.Seeds, 1)); seed++ {
 		place := filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
 		result, err := ibissoak.Run(ctx, ibissoak.Config{
-			Program:      program,
-			Seed:         seed,
-			Nodes:        c.Nodes,
-			Faulty:       c.For,
-			ServerFaults: c.ServerFaults,
-			Accounts:     c.Accounts,
-			Dir:          place,
+			Program:           program,
+			Seed:              seed,
+			Nodes:             c.Nodes,
+			Faulty:            c.For,
+			ServerFaults:      c.ServerFaults,
+			ForeignHeartbeats: c.ForeignHeartbeats,
+			Accounts:          c.Accounts,
+			Dir:               place,
 		})
 		if err != nil {
 			return fmt.Errorf("seed %d (logs in %s): %w", seed, place, err)
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -44,6 +44,9 @@
 // CrashPath begins the paths of requests that end the server that begins to run them.
 const CrashPath = "/look/crash/"
 
+// CrashMidwayPath begins the paths of those that end it midway through its answer.
+const CrashMidwayPath = CrashPath + "midway/"
+
 // HeaderCounted marks a request that counts against the bounds for one that ends servers.
 const HeaderCounted = "Counted"
 
@@ -193,6 +196,9 @@
 	s.ledger.begin(s, id, r.Method == http.MethodPost, key)
 	if strings.HasPrefix(r.URL.Path, CrashPath) {
 		s.ledger.ended(s, r.URL.Path, r.Header.Get(HeaderCounted) != "")
+		if strings.HasPrefix(r.URL.Path, CrashMidwayPath) {
+			s.writeHalf(w, id)
+		}
 		s.Crash()
 		panic(http.ErrAbortHandler)
 	}
