--- a/internal/relay/ibislink/conn.go
+++ b/internal/relay/ibislink/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -76,6 +77,20 @@
 	return response, size, err
 }
 
+// finishGreeting reads the rest of the response to the greeting; it fails if the connection can't be used afterwards.
+func (c *conn) finishGreeting(response *Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBytes+1))
+	if err != nil {
+		return err
+	}
+	if reusable := response.Body.(*body).reusable; !reusable || n > maxMismatchedBytes || c.reader.Buffered() > 0 {
+		return errors.New("the peer doesn't keep the connection")
+	}
+	// A refusal of the next request can't be a repetition of this response, which isn't one.
+	c.used = false
+	return nil
+}
+
 // isUsable reports whether the connection is open and has no unsolicited bytes to read.
 func (c *conn) isUsable() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -67,8 +67,10 @@
 
 // exchange is one request on one connection.
 type exchange struct {
-	pool              *Pool
-	conn              *conn
+	pool *Pool
+	conn *conn
+	// keepOpen means that the end of the exchange leaves the connection as it is.
+	keepOpen          bool
 	stopCloseOnCancel func() bool
 	writtenBytes      atomic.Int64
 	writeDone         chan error
@@ -185,6 +187,9 @@
 
 // end returns the connection to the pool or closes it.
 func (x *exchange) end(reusable bool) {
+	if x.keepOpen {
+		return
+	}
 	x.endOnce.Do(func() {
 		stopped := x.stopCloseOnCancel()
 		reusable = reusable && x.conn.tcp.SetReadDeadline(time.Time{}) == nil
--- a/internal/relay/ibislink/pool.go
+++ b/internal/relay/ibislink/pool.go
@@ -40,6 +40,8 @@
 	MaxOpen int
 	// MayDial, if set, is called before a connection is opened; no connection is opened if it fails.
 	MayDial func() error
+	// Greeting, if set, returns what is exchanged on a new connection before any other request, nil for nothing.
+	Greeting func() *Greeting
 	// StallTimeout is how long after Request.Deadline a read of a body waits for a byte, 5 s if zero.
 	StallTimeout time.Duration
 	// EndTimeout is how long after Request.Deadline a body may last, a minute if zero; a body of known length may last longer
@@ -47,6 +49,14 @@
 	EndTimeout time.Duration
 }
 
+// Greeting is a request that shows whether a new connection leads to the right peer.
+type Greeting struct {
+	// Request is the request. The time for its response is that of the exchange for which the connection is opened.
+	Request Request
+	// Accept fails if the response shows that the connection must not be used; it doesn't read the body.
+	Accept func(*Response) error
+}
+
 // Pool holds connections to one address; it is safe for concurrent use.
 type Pool struct {
 	options Options
@@ -155,7 +165,38 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return newConn(nc.(*net.TCPConn)), nil
+	c := newConn(nc.(*net.TCPConn))
+	if err := p.greet(ctx, c); err != nil {
+		p.discard(c)
+		return nil, fmt.Errorf("%w: %w on a new connection to %s: %w", ErrNotSent, ErrGreeting, p.options.Address, err)
+	}
+	return c, nil
+}
+
+// greet exchanges the greeting on a new connection.
+func (p *Pool) greet(ctx context.Context, c *conn) error {
+	if p.options.Greeting == nil {
+		return nil
+	}
+	greeting := p.options.Greeting()
+	if greeting == nil {
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.tcp.Close() })
+	defer stop()
+	x := &exchange{
+		pool:     p,
+		conn:     c,
+		keepOpen: true,
+	}
+	response, err := x.run(greeting.Request)
+	if err != nil {
+		return err
+	}
+	if err := greeting.Accept(response); err != nil {
+		return err
+	}
+	return c.finishGreeting(response)
 }
 
 // put makes a connection available to the next exchange; keepAlive is the response's Keep-Alive header.
--- a/internal/relay/ibislink/request.go
+++ b/internal/relay/ibislink/request.go
@@ -48,6 +48,9 @@
 // ErrNotSent reports that no byte of the request was written.
 var ErrNotSent = errors.New("request not sent")
 
+// ErrGreeting reports that the greeting on a new connection failed.
+var ErrGreeting = errors.New("greeting failed")
+
 // ErrMismatchedResponse reports that a response carried no id, or that responses to other requests could not be discarded
 // because they were too many, too long or closed the connection.
 var ErrMismatchedResponse = errors.New("response does not match the request")
