--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -65,13 +65,16 @@
 	clock     ibistimer.Service
 	log       *zap.Logger
 
-	mu            sync.Mutex
-	server        ibisroster.Server
-	rules         *Rules
-	coldUntil     time.Time
-	stopping      bool
-	answersEnd    time.Time
-	gate          *ibisadmit.Gate
+	mu         sync.Mutex
+	server     ibisroster.Server
+	rules      *Rules
+	coldUntil  time.Time
+	stopping   bool
+	answersEnd time.Time
+	gate       *ibisadmit.Gate
+	// gateOf is the incarnation of the server that the gate admits to, and startedAt when the guard was created.
+	gateOf        ibisroster.ServerIncarnation
+	startedAt     time.Time
 	nextID        ibisadmit.RequestID
 	waiting       map[ibisadmit.RequestID]chan decision
 	tickScheduled bool
@@ -117,6 +120,8 @@
 	RateLimit float64
 	// LinkBytes is the number of bytes of buffered answers that wait for the link.
 	LinkBytes int
+	// ColdLeft is how much longer the backend server counts as cold.
+	ColdLeft time.Duration
 }
 
 // New returns a guard without a backend server and without rules; it refuses all requests until it has both.
@@ -127,6 +132,7 @@
 		clock:      clock,
 		log:        log,
 		waiting:    make(map[ibisadmit.RequestID]chan decision),
+		startedAt:  clock.Now(),
 		calls:      ibiscalls.New(clock.Now()),
 		callBounds: make(ibisset.Set[ibisid.ClassName]),
 		link: link{
@@ -174,9 +180,11 @@
 	s.Waiting = len(g.waiting)
 	s.LinkBytes = g.link.heldBytes
 	s.RateLimit = g.notice.Or(ibismessage.ServerNotice{}).RateLimit.Or(0)
+	now := g.clock.Now()
+	s.ColdLeft = max(0, g.coldUntil.Sub(now))
 	if g.gate != nil {
 		s.Running = g.gate.Running()
-		s.KeptFree = g.gate.KeptFree(g.clock.Now())
+		s.KeptFree = g.gate.KeptFree(now)
 	}
 	return s
 }
--- a/internal/relay/ibisadmission/guard_test.go
+++ b/internal/relay/ibisadmission/guard_test.go
@@ -142,7 +142,8 @@
 		server      *backend
 		keys        *ownership
 		guard       *ibisadmission.Guard
-		incarnation = ibisroster.ServerIncarnation{ID: "s1", StartedAt: 1}
+		start       = time.Unix(1_000_000, 0)
+		incarnation = ibisroster.ServerIncarnation{ID: "s1", StartedAt: start.UnixMilli()}
 		rules       = ibisadmission.Rules{Connections: 130, ColdPerSecond: 12, ColdStart: 3 * time.Second}
 	)
 
@@ -178,7 +179,7 @@
 	}
 
 	BeforeEach(func() {
-		clock = ibistimer.NewFake(time.Unix(1_000_000, 0))
+		clock = ibistimer.NewFake(start)
 		server = &backend{clock: clock, answers: make(chan ibismessage.Answer)}
 		keys = &ownership{keyState: ibisrange.KeyStateHeld, changed: make(chan struct{})}
 		guard = ibisadmission.New(server, keys, limits, clock, zap.NewNop())
@@ -203,6 +204,34 @@
 		Expect(admitted).To(BeNumerically(">=", 12))
 	})
 
+	// Guards against a cold server that gets the requests of two seconds in one: those of an earlier run of the node, or of the gate
+	// before, and those of the present gate.
+	DescribeTable("counts what another gate may have admitted to a cold server", func(startedAfter, sinceStart time.Duration, slots int, coldFor time.Duration, admitted bool) {
+		present := state(ibisroster.StateServing)
+		present.Incarnation.StartedAt = clock.Now().Add(startedAfter).UnixMilli()
+		guard.SetRules(rules)
+		guard.SetServer(present, coldFor)
+		clock.Advance(sinceStart)
+		present.Slots = slots
+		guard.SetServer(present, coldFor)
+		answer := send(context.Background(), order())
+		if !admitted {
+			Eventually(answer).Should(Receive(HaveField("Outcome", ibisid.OutcomeNotRun)), "it would wait past its target")
+			clock.Advance(1200 * time.Millisecond)
+			answer = send(context.Background(), order())
+		}
+		Eventually(server.count).Should(Equal(1))
+		server.answers <- okAnswer()
+		Eventually(answer).Should(Receive())
+	},
+		Entry("before the start of the node", -time.Minute, time.Duration(0), 2, 3*time.Second, false),
+		Entry("until the server named other slots", time.Duration(0), time.Second, 3, 3*time.Second, false),
+		// A sound server waits no longer than that, and not at all if it is warm or no other gate can have admitted to it.
+		Entry("but not long before", -time.Minute, 1200*time.Millisecond, 2, 3*time.Second, true),
+		Entry("but not to a warm one", -time.Minute, time.Duration(0), 2, time.Duration(0), true),
+		Entry("but none to one that started after the node", time.Duration(0), time.Duration(0), 2, 3*time.Second, true),
+	)
+
 	// Guards against keys that stay with a backend server that ended midway through an answer until its lease has run out.
 	DescribeTable("reports the end of a server whose answer breaks off", func(broken error, reported int) {
 		guard.SetRules(rules)
--- a/internal/relay/ibisadmission/rules.go
+++ b/internal/relay/ibisadmission/rules.go
@@ -61,10 +61,24 @@
 	if g.gate != nil {
 		g.apply(ibisadmit.DrainEvent{}, now)
 	}
-	g.gate = ibisadmit.New(GateConfig(g.server.Slots, g.rules.Connections, g.rules.Sharded, g.rules.Policy), now)
+	config := GateConfig(g.server.Slots, g.rules.Connections, g.rules.Sharded, g.rules.Policy)
+	config.EarlierAdmissionsUntil = g.earlierAdmissionsUntil(now)
+	g.gate, g.gateOf = ibisadmit.New(config, now), g.server.Incarnation
 	g.applyRateLimit(now)
 }
 
+// earlierAdmissionsUntil returns when another gate may have admitted requests to the server last, zero if none has: the present gate,
+// or that of an earlier run of the node. g.mu is held.
+func (g *Guard) earlierAdmissionsUntil(now time.Time) time.Time {
+	switch {
+	case g.gateOf == g.server.Incarnation:
+		return now
+	case g.server.Incarnation.StartedAt < g.startedAt.UnixMilli():
+		return g.startedAt
+	}
+	return time.Time{}
+}
+
 // GateConfig returns the gate configuration of a backend server with so many slots and accepted connections.
 func GateConfig(slots, connections int, sharded bool, policy ibisadmit.Policy) ibisadmit.Config {
 	return ibisadmit.Config{
--- a/internal/relay/ibisroster/verifier_test.go
+++ b/internal/relay/ibisroster/verifier_test.go
@@ -45,6 +45,22 @@
 	})
 })
 
+// Guards against what a heartbeat says that arrives after a later one (review/9).
+var _ = It("A Sequence takes what was sent after all that it has taken, and counts anew for a new run", func() {
+	var s ibisroster.Sequence
+	run := func(startedAt int64) ibisroster.ServerIncarnation {
+		return ibisroster.ServerIncarnation{ID: "s1", StartedAt: startedAt}
+	}
+	Expect(s.Advance(run(5), 0)).To(BeTrue())
+	Expect(s.Advance(run(5), 7)).To(BeTrue())
+	Expect(s.Advance(run(5), 7)).To(BeFalse())
+	Expect(s.Advance(run(5), 6)).To(BeFalse())
+	Expect(s.Advance(run(4), 8)).To(BeFalse())
+	Expect(s.Advance(run(6), 1)).To(BeTrue())
+	Expect(s.Advance(run(5), 9)).To(BeFalse())
+	Expect(s.Advance(run(6), 2)).To(BeTrue())
+})
+
 var _ = Describe("A Roster in a new era of the store", func() {
 	member := func(state ibisroster.State) ibisroster.Member {
 		return ibisroster.Member{
--- a/internal/request/ibisadmit/cold.go
+++ b/internal/request/ibisadmit/cold.go
@@ -8,6 +8,8 @@
 	perSecond int
 	until     time.Time
 	recent    []time.Time
+	// fullUntil is until when an unknown number of admissions by an earlier gate counts.
+	fullUntil time.Time
 }
 
 // coldWindow is the window over which admissions are counted. It exceeds one second to allow for the varying time that
@@ -40,7 +42,7 @@
 		return false
 	}
 	c.discardOld(now)
-	return len(c.recent) >= c.perSecond
+	return now.Before(c.fullUntil) || len(c.recent) >= c.perSecond
 }
 
 // wait returns the estimated time until the given number of further requests may be admitted.
@@ -49,9 +51,10 @@
 		return 0
 	}
 	c.discardOld(now)
+	earlier := min(max(0, c.fullUntil.Sub(now)), c.until.Sub(now))
 	if len(c.recent)+requests <= c.perSecond {
-		return 0
+		return earlier
 	}
 	span := time.Duration(float64(requests) / float64(max(1, c.perSecond)) * float64(time.Second))
-	return min(span, c.until.Sub(now))
+	return min(max(span, earlier), c.until.Sub(now))
 }
--- a/internal/request/ibisadmit/gate.go
+++ b/internal/request/ibisadmit/gate.go
@@ -83,6 +83,9 @@
 		reportedAt:  make(map[ibisid.ClassName]time.Time),
 	}
 	g.setPolicy(config.Policy)
+	if !config.EarlierAdmissionsUntil.IsZero() {
+		g.coldRate.fullUntil = config.EarlierAdmissionsUntil.Add(coldWindow)
+	}
 	if config.StartCold {
 		g.limit.startRamp(config.ColdStart, now)
 	}
