platform: orders whose callers have left are withdrawn also before their body is read

Cause: net/http notices the end of a connection only once the body has been read, and an order is admitted before that. A connection with as many pipelined requests as may run isn't read either.

--- a/internal/relay/ibisconnections/connections.go
+++ b/internal/relay/ibisconnections/connections.go
@@ -33,13 +33,17 @@
 	open ibisset.Set[*conn]
 	// nextScan is when connections to close may be searched again.
 	nextScan time.Time
+
+	watchesMu sync.Mutex
+	watches   ibisset.Set[*watch]
 }
 
 // New returns an empty set of connections.
 func New(clock ibistimer.Service, options ...Option) *Connections {
 	c := &Connections{
-		clock: clock,
-		open:  make(ibisset.Set[*conn]),
+		clock:   clock,
+		open:    make(ibisset.Set[*conn]),
+		watches: make(ibisset.Set[*watch]),
 	}
 	for _, o := range options {
 		o(c)
--- a/internal/relay/ibispipeline/end.go
+++ b/internal/relay/ibispipeline/end.go
@@ -57,6 +57,23 @@
 	return ok && inner.HasPeerClosed()
 }
 
+// recordPeerGone records that the caller has disconnected.
+func (s *socket) recordPeerGone() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peerGone = true
+	s.changed.Broadcast()
+}
+
+// withdraw ends the requests of a caller that has disconnected. Its disconnection would be read only after an answer, if as many requests
+// run as are allowed.
+func (s *socket) withdraw() {
+	if s.peerGone && s.readErr == nil {
+		s.readErr = io.EOF
+		s.changed.Broadcast()
+	}
+}
+
 func (s *socket) closeWrite() error {
 	inner, ok := s.inner.(interface{ CloseWrite() error })
 	if !ok {
@@ -78,6 +95,9 @@
 		return
 	}
 	s.ending, s.closed = true, true
+	if s.stopWatch != nil {
+		s.stopWatch()
+	}
 	s.consume(len(s.held))
 	if s.readErr == nil {
 		s.readErr = io.EOF
--- a/internal/relay/ibispipeline/follow.go
+++ b/internal/relay/ibispipeline/follow.go
@@ -91,6 +91,7 @@
 	s.requests = []*request{running}
 	s.conns = []*Conn{s.primary}
 	s.split.Store(true)
+	s.stopWatch = s.pipeline.options.Tracker.OnPeerClosed(s.inner, s.recordPeerGone)
 	// http.Server's deadline for the head of the running request ends with its head.
 	_ = s.inner.SetReadDeadline(time.Time{})
 	s.hold(rest)
--- a/internal/relay/ibispipeline/pipeline.go
+++ b/internal/relay/ibispipeline/pipeline.go
@@ -30,6 +30,8 @@
 	SetState(conn net.Conn, state http.ConnState)
 	// AwaitHeader records that a connection waits for the rest of a head.
 	AwaitHeader(conn net.Conn)
+	// OnPeerClosed calls the function once when the peer has closed the connection, until the returned function is called.
+	OnPeerClosed(conn net.Conn, closed func()) (stop func())
 }
 
 // Options configures a Pipeline.
--- a/internal/relay/ibispipeline/pipeline_test.go
+++ b/internal/relay/ibispipeline/pipeline_test.go
@@ -167,6 +167,29 @@
 	return got, last
 }
 
+// Guards against reads that are worked on to their end although their caller has left: its disconnection is not read while as many run as
+// may.
+var _ = It("Reads of a caller that disconnects behind more than run at once are withdrawn", func() {
+	var running gauge
+	server := serve(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		running.enter()
+		defer running.leave()
+		_ = connOf(r).Admit(true)
+		<-r.Context().Done()
+	}), 4, 1<<20, -1)
+	DeferCleanup(server.close)
+	conn := server.dial()
+	_, err := io.WriteString(conn, strings.Repeat(get("/look/1"), 6))
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(running.now.Load).Should(BeEquivalentTo(4))
+	Expect(conn.Close()).To(Succeed())
+	Eventually(func() int64 {
+		server.connections.FindClosedPeers()
+		return running.now.Load()
+	}).Should(BeZero())
+	Expect(running.most).To(BeEquivalentTo(4), "none of the others is begun")
+})
+
 var _ = Describe("Eight reads on one connection", func() {
 	const reads = 8
 
--- a/internal/relay/ibispipeline/read.go
+++ b/internal/relay/ibispipeline/read.go
@@ -11,6 +11,7 @@
 	for {
 		s.mu.Lock()
 		for !s.mayRead() {
+			s.withdraw()
 			s.changed.Wait()
 		}
 		size := readBytes
--- a/internal/relay/ibispipeline/socket.go
+++ b/internal/relay/ibispipeline/socket.go
@@ -95,6 +95,9 @@
 	headDeadline bool
 	// readErr is why nothing more can be read.
 	readErr error
+	// peerGone means that the caller has closed the connection, and stopWatch ends the search for that.
+	peerGone  bool
+	stopWatch func()
 	// ending means that the socket ends and only waits for the caller to notice, closed that it has ended.
 	ending, closed bool
 }
