ibisadmission: one answer no longer shuts its class out

Cause: an answer that its caller left counted with its claimed length, and a class that is refused has no answers that would correct the mean.

Change: a claimed length counts for nothing; what was read of an answer that was left only raises the mean. A class that is refused for the length of its own answers alone is tried twice a second while nothing else needs the link, and the first whole answer replaces the mean. Retry-After names the next try.

What it costs when the suspicion is wrong: a class whose answers are too long for their target has one late answer in half a second on the link.

--- a/internal/relay/ibisadmission/admit.go
+++ b/internal/relay/ibisadmission/admit.go
@@ -45,8 +45,8 @@
 	}
 	now := g.clock.Now()
 	order.Deadline = g.boundDeadline(order.Deadline)
-	linkWait := g.link.estimateWait(order.Class)
-	if refusal, ok := g.checkLink(order, linkWait, now); !ok {
+	linkWait, refusal, ok := g.checkLink(order, now)
+	if !ok {
 		g.stats.Refused++
 		return 0, ibisroster.ServerIncarnation{}, nil, refusal
 	}
--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -138,6 +138,7 @@
 		link: link{
 			limits:     limits,
 			meanLength: make(map[ibisid.ClassName]*ibislatency.Mean),
+			tries:      make(map[ibisid.ClassName]linkTry),
 		},
 	}
 }
@@ -247,8 +248,7 @@
 	g.recordHeaders(id)
 	answer.Body = &slotBody{
 		body:          answer.Body,
-		announced:     min(answer.Length, g.link.limits.bytesWithin(left)),
-		release:       func(length int64) { g.finishAnswer(order.Class, length, end) },
+		release:       func(length answerLength) { g.finishAnswer(order.Class, length, end) },
 		onServerEnded: func() { g.ownership.ReportServerEnded(incarnation) },
 	}
 	g.bufferAnswer(&answer)
@@ -306,8 +306,8 @@
 	return g.backend.Send(ctx, order, incarnation, left)
 }
 
-// finishAnswer records the length of an answer in bytes, -1 if it is not known, and releases its slot.
-func (g *Guard) finishAnswer(class ibisid.ClassName, length int64, e ibisadmit.FinishEvent) {
+// finishAnswer records the length of an answer and releases its slot.
+func (g *Guard) finishAnswer(class ibisid.ClassName, length answerLength, e ibisadmit.FinishEvent) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.link.recordLength(class, length)
@@ -317,12 +317,10 @@
 // slotBody releases the slot of a request when its answer has been read to the end, has failed or is closed.
 type slotBody struct {
 	body io.ReadCloser
-	// announced is the length in bytes that counts for an answer that is closed before its end, -1 if unknown.
-	announced int64
-	read      atomic.Int64
-	once      sync.Once
-	// release is called once, with the length of the answer in bytes, -1 if it broke off.
-	release func(length int64)
+	read atomic.Int64
+	once sync.Once
+	// release is called once, with what has been read of the answer.
+	release func(length answerLength)
 	// onServerEnded is called if the body breaks off because the backend server has ended.
 	onServerEnded func()
 }
@@ -330,13 +328,14 @@
 // Read reads the body; it releases the slot at the end or at an error.
 func (b *slotBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
-	length := b.read.Add(int64(n))
+	read := b.read.Add(int64(n))
 	if err != nil {
-		if !errors.Is(err, io.EOF) {
-			length = -1
-		}
 		b.once.Do(func() {
-			b.release(length)
+			b.release(answerLength{
+				bytes:  read,
+				whole:  errors.Is(err, io.EOF),
+				broken: !errors.Is(err, io.EOF),
+			})
 			var ended *ibismessage.ServerEndedError
 			if errors.As(err, &ended) {
 				b.onServerEnded()
@@ -348,7 +347,11 @@
 
 // Close releases the slot and closes the body.
 func (b *slotBody) Close() error {
-	b.once.Do(func() { b.release(b.announced) })
+	b.once.Do(func() {
+		b.release(answerLength{
+			bytes: b.read.Load(),
+		})
+	})
 	return b.body.Close()
 }
 
--- a/internal/relay/ibisadmission/length_test.go
+++ b/internal/relay/ibisadmission/length_test.go
@@ -17,6 +17,7 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibismessage"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisrange"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisroster"
+	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
 
 // announcingBackend answers every order with a body that may have another length than it announces.
@@ -88,6 +89,49 @@
 		read(send())
 	})
 
+	// Guards against one answer that shuts its class out at this node: it was refused until the node's restart.
+	DescribeTable("serves a class again within a second of an answer that", func(announced int64, sent int, readBytes int64) {
+		server.announced, server.bytes = announced, sent
+		faulty := send()
+		_, _ = io.CopyN(io.Discard, faulty.Body, readBytes)
+		Expect(faulty.Body.Close()).To(Succeed())
+		server.announced, server.bytes = length, length
+		began := clock.Now()
+		for served := 0; served < 3; clock.Advance(50 * time.Millisecond) {
+			answer := send()
+			if answer.Outcome == ibisid.OutcomeDone {
+				served++
+				read(answer)
+				continue
+			}
+			Expect(answer.RetryAfter).To(BeNumerically("<=", 2*time.Second), "no longer than the class has to be served")
+			Expect(clock.Now().Sub(began)).To(BeNumerically("<", time.Second))
+		}
+	},
+		Entry("claims a length and breaks off", int64(1<<62), 10, int64(11)),
+		Entry("claims a length, and whose caller leaves", int64(1<<62), 100*length, int64(10)),
+		Entry("has no end, until its caller leaves", int64(-1), 1000*length, int64(400*length)),
+		Entry("has no end and claims one, until its caller leaves", int64(1<<62), 1000*length, int64(400*length)),
+		Entry("has a length that none before had", int64(400*length), 400*length, int64(400*length+1)),
+	)
+
+	// A class whose answers are in fact too long for the link is refused but for one try in half a second.
+	It("tries a class again that it refuses for its length, one answer at a time", func() {
+		server.announced, server.bytes = 30*length, 30*length
+		read(send())
+		served := 0
+		for range 60 {
+			answer := send()
+			if answer.Outcome == ibisid.OutcomeDone {
+				served++
+				Expect(send().Reason).To(BeEquivalentTo(ibisadmit.ReasonLink), "while the link carries that answer")
+				read(answer)
+			}
+			clock.Advance(50 * time.Millisecond)
+		}
+		Expect(served).To(BeNumerically("~", 6, 1))
+	})
+
 	It("refuses a long answer without announced length that the end of the node's process would cut off", func() {
 		server.announced = -1
 		read(send())
--- a/internal/relay/ibisadmission/link.go
+++ b/internal/relay/ibisadmission/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"sync"
 	"time"
 
@@ -14,6 +15,10 @@
 // lengthWindow is the number of answers in the mean length of a class.
 const lengthWindow = 100
 
+// linkTryInterval is how often a class is tried that is refused only because its own answers are expected to be long. A class is
+// served again within a second of an answer that was longer than those after it.
+const linkTryInterval = 500 * time.Millisecond
+
 // Limits bounds the answers that the instance buffers and sends.
 type Limits struct {
 	// AnswerBytes is the greatest number of bytes of answers that wait for the link in memory; zero disables the buffer.
@@ -32,9 +37,6 @@
 	Release(bytes int)
 }
 
-// bytesWithin returns how many bytes of long answers the link carries within a duration.
-func (l Limits) bytesWithin(d time.Duration) int64 { return int64(l.LinkRate * d.Seconds()) }
-
 // link counts the bytes of answers that wait for the instance's network link, and the expected bytes of requests that are
 // still running.
 type link struct {
@@ -42,6 +44,22 @@
 	heldBytes     int
 	expectedBytes float64
 	meanLength    map[ibisid.ClassName]*ibislatency.Mean
+	// tries holds the last try of each class that was refused for its length.
+	tries map[ibisid.ClassName]linkTry
+}
+
+// linkTry is an order that was let through although its answer was expected to be too long.
+type linkTry struct {
+	at time.Time
+	// pending means that no answer of the class has been read to its end since then.
+	pending bool
+}
+
+// answerLength is what has been read of an answer.
+type answerLength struct {
+	bytes int64
+	// whole means that the answer was read to its end, and broken that it broke off. Otherwise its caller has left.
+	whole, broken bool
 }
 
 // typicalLength returns the mean length in bytes of a class's answers, or zero if they are short.
@@ -55,37 +73,80 @@
 // estimateWait returns how long an answer of the class takes on the link, including the answers queued before it.
 func (l *link) estimateWait(class ibisid.ClassName) time.Duration {
 	own := l.typicalLength(class)
-	if own == 0 || l.limits.LinkRate <= 0 {
+	if own == 0 {
 		return 0
 	}
-	return time.Duration((float64(l.heldBytes) + l.expectedBytes + own) / l.limits.LinkRate * float64(time.Second))
+	return l.duration(float64(l.heldBytes) + l.expectedBytes + own)
 }
 
-// recordLength adds the length of an answer in bytes to the mean of its class; -1 means unknown and is ignored.
-func (l *link) recordLength(class ibisid.ClassName, length int64) {
-	if length < 0 {
-		return
+// duration returns how long the link takes for bytes, zero if its rate is not limited.
+func (l *link) duration(bytes float64) time.Duration {
+	if l.limits.LinkRate <= 0 {
+		return 0
 	}
+	return time.Duration(bytes / l.limits.LinkRate * float64(time.Second))
+}
+
+// recordLength adds the length of an answer to the mean of its class; a length that is only announced doesn't count. An answer that
+// its caller has left is at least as long as what was read of it, and one that broke off says nothing. The first whole answer of a class
+// that was tried replaces the mean.
+func (l *link) recordLength(class ibisid.ClassName, length answerLength) {
 	m := l.meanLength[class]
-	if m == nil {
+	try := l.tries[class]
+	if m == nil || try.pending && length.whole {
 		m = &ibislatency.Mean{}
-		l.meanLength[class] = m
 	}
-	m.Add(float64(length), lengthWindow)
+	if length.broken || !length.whole && float64(length.bytes) <= m.Value() {
+		return
+	}
+	if try.pending && length.whole {
+		try.pending = false
+		l.tries[class] = try
+	}
+	m.Add(float64(length.bytes), lengthWindow)
+	l.meanLength[class] = m
+}
+
+// mayTry reports whether a class whose answers are expected to be too long is to be tried all the same, and records that: nothing else
+// needs the link, and no recent try has shown that the expectation holds. Otherwise it returns when the next try may be.
+func (l *link) mayTry(class ibisid.ClassName, now time.Time) (time.Duration, bool) {
+	// Less than a byte is a rounding error.
+	others := l.duration(math.Floor(float64(l.heldBytes) + l.expectedBytes))
+	untilTry := max(0, others, l.tries[class].at.Add(linkTryInterval).Sub(now))
+	if untilTry > 0 {
+		return untilTry, false
+	}
+	l.tries[class] = linkTry{
+		at:      now,
+		pending: true,
+	}
+	return 0, true
 }
 
-// checkLink refuses an order whose answer would miss its target and would wait for the link longer than the backend server
-// works on it: the bytes of such an answer only delay the answers queued behind it. While the node stops, it also refuses an
-// order whose answer would be cut off by the end of the process, together with all answers that share the link with it.
-func (g *Guard) checkLink(order ibismessage.Order, wait time.Duration, now time.Time) (ibismessage.Answer, bool) {
+// checkLink returns how long the answer to an order is expected to wait for the link. It refuses an order whose answer would miss its
+// target and would wait longer than the backend server works on it: the bytes of such an answer only delay the answers queued behind it.
+// Since the expected length may be wrong, an order that is refused for that alone is let through now and then. While the node stops, it
+// also refuses an order whose answer would be cut off by the end of the process, together with all answers that share the link with it.
+func (g *Guard) checkLink(order ibismessage.Order, now time.Time) (time.Duration, ibismessage.Answer, bool) {
+	wait := g.link.estimateWait(order.Class)
 	typicalLatency := g.gate.MeanSlotTime(order.Class)
 	if g.missesEnd(wait+typicalLatency, now) {
-		return ibismessage.NotRun(ibismessage.ReasonStopping, 0, nil), false
+		return wait, ibismessage.NotRun(ibismessage.ReasonStopping, 0, nil), false
+	}
+	isLate := func(wait time.Duration) bool {
+		return !order.Target.IsZero() && wait > typicalLatency && now.Add(wait+typicalLatency).After(order.Target)
 	}
-	if order.Target.IsZero() || wait <= typicalLatency || !now.Add(wait+typicalLatency).After(order.Target) {
-		return ibismessage.Answer{}, true
+	if !isLate(wait) {
+		return wait, ibismessage.Answer{}, true
 	}
-	return ibismessage.NotRun(ibismessage.Reason(ibisadmit.ReasonLink), wait, nil), false
+	if isLate(g.link.duration(g.link.typicalLength(order.Class))) {
+		untilTry, ok := g.link.mayTry(order.Class, now)
+		if ok {
+			return 0, ibismessage.Answer{}, true
+		}
+		wait = min(wait, untilTry)
+	}
+	return wait, ibismessage.NotRun(ibismessage.Reason(ibisadmit.ReasonLink), wait, nil), false
 }
 
 // boundDeadline returns the earlier of a deadline and the end of the answers of a stopping node; g.mu is held.
@@ -116,6 +177,10 @@
 	if wait := g.link.estimateWait(order.Class); wait > 0 && g.missesEnd(wait, now) {
 		return 0, false
 	}
+	if g.link.tries[order.Class].pending {
+		// Other classes need not wait for a length that is in doubt.
+		return 0, true
+	}
 	expectedBytes := g.link.typicalLength(order.Class)
 	g.link.expectedBytes += expectedBytes
 	return expectedBytes, true
