--- a/internal/relay/ibisadmission/link_test.go
+++ b/internal/relay/ibisadmission/link_test.go
@@ -189,6 +189,7 @@
 	It("refuses an order that waits for a slot when the node begins to stop, if the answers before it fill the link until then", func() {
 		start(ibisadmission.Limits{AnswerBytes: 100 * length, LinkRate: 2 * length})
 		first := guard.Send(context.Background(), order())
+		Expect(io.ReadAll(first.Body)).To(HaveLen(length))
 		Expect(first.Body.Close()).To(Succeed())
 		server.working = make(chan struct{})
 		answers := make(chan ibismessage.Answer, 3)
