platform: a leaving server with a closed port may work for callers that left

Cause: a refused connection counts as a leaving server's end once it runs no request, and the count of those falls when a caller leaves. The server may work on until the time that the request gave it.

Change: the gate remembers until when that is, before and during an answer.

--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -73,12 +73,14 @@
 	answersEnd time.Time
 	gate       *ibisadmit.Gate
 	// gateOf is the incarnation of the server that the gate admits to, and startedAt when the guard was created.
-	gateOf        ibisroster.ServerIncarnation
-	startedAt     time.Time
-	nextID        ibisadmit.RequestID
-	waiting       map[ibisadmit.RequestID]chan decision
-	tickScheduled bool
-	link          link
+	gateOf    ibisroster.ServerIncarnation
+	startedAt time.Time
+	// abandonedUntil is when the server has to end its work on requests whose callers have left.
+	abandonedUntil time.Time
+	nextID         ibisadmit.RequestID
+	waiting        map[ibisadmit.RequestID]chan decision
+	tickScheduled  bool
+	link           link
 	// notice is what the backend server last said about itself, absent before its first answer.
 	notice ibisset.Option[ibismessage.ServerNotice]
 	stats  Stats
@@ -122,6 +124,8 @@
 	LinkBytes int
 	// ColdLeft is how much longer the backend server counts as cold.
 	ColdLeft time.Duration
+	// Abandoned is how much longer the backend server may work on requests whose callers have left.
+	Abandoned time.Duration
 }
 
 // New returns a guard without a backend server and without rules; it refuses all requests until it has both.
@@ -183,6 +187,7 @@
 	s.RateLimit = g.notice.Or(ibismessage.ServerNotice{}).RateLimit.Or(0)
 	now := g.clock.Now()
 	s.ColdLeft = max(0, g.coldUntil.Sub(now))
+	s.Abandoned = max(0, g.abandonedUntil.Sub(now))
 	if g.gate != nil {
 		s.Running = g.gate.Running()
 		s.KeptFree = g.gate.KeptFree(now)
@@ -234,6 +239,9 @@
 	g.hear(answer.Notice)
 	end.Latency = g.clock.Now().Sub(began)
 	end.CutOff = answer.Reason == ibismessage.ReasonCancelled || answer.Reason == ibismessage.ReasonDeadline
+	if end.CutOff {
+		g.abandon(incarnation, began.Add(left))
+	}
 	if answer.Outcome != ibisid.OutcomeDone {
 		if answer.Reason == ibismessage.ReasonServerEnded || !answer.Crashed.IsZero() {
 			g.ownership.ReportServerEnded(incarnation)
@@ -247,8 +255,9 @@
 	end.Failed = answer.Status >= http.StatusInternalServerError
 	g.recordHeaders(id)
 	answer.Body = &slotBody{
-		body:          answer.Body,
+		body: answer.Body,
 		release:       func(length answerLength) { g.finishAnswer(order.Class, length, end) },
+		onAbandoned:   func() { g.abandon(incarnation, began.Add(left)) },
 		onServerEnded: func() { g.ownership.ReportServerEnded(incarnation) },
 	}
 	g.bufferAnswer(&answer)
@@ -256,6 +265,15 @@
 	return answer
 }
 
+// abandon records that an incarnation of the server may work on a request whose caller has left until the time that it was given.
+func (g *Guard) abandon(incarnation ibisroster.ServerIncarnation, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if incarnation == g.server.Incarnation && until.After(g.abandonedUntil) {
+		g.abandonedUntil = until
+	}
+}
+
 // sendUntilTaken sends an order, and again if the backend server rejects it and the gate asks for it.
 func (g *Guard) sendUntilTaken(ctx context.Context, order ibismessage.Order, id ibisadmit.RequestID, incarnation ibisroster.ServerIncarnation, expectedBytes float64) ibismessage.Answer {
 	for {
@@ -321,8 +339,9 @@
 	once sync.Once
 	// release is called once, with what has been read of the answer.
 	release func(length answerLength)
-	// onServerEnded is called if the body breaks off because the backend server has ended.
-	onServerEnded func()
+	// onServerEnded is called if the body breaks off because the backend server has ended, and onAbandoned if it is not read to its end
+	// for another reason.
+	onServerEnded, onAbandoned func()
 }
 
 // Read reads the body; it releases the slot at the end or at an error.
@@ -330,24 +349,33 @@
 	n, err := b.body.Read(p)
 	read := b.read.Add(int64(n))
 	if err != nil {
-		b.once.Do(func() {
-			b.release(answerLength{
-				bytes:  read,
-				whole:  errors.Is(err, io.EOF),
-				broken: !errors.Is(err, io.EOF),
-			})
-			var ended *ibismessage.ServerEndedError
-			if errors.As(err, &ended) {
-				b.onServerEnded()
-			}
-		})
+		b.once.Do(func() { b.end(read, err) })
 	}
 	return n, err
 }
 
+// end releases the slot after the error that ended the body.
+func (b *slotBody) end(read int64, err error) {
+	whole := errors.Is(err, io.EOF)
+	var ended *ibismessage.ServerEndedError
+	serverEnded := errors.As(err, &ended)
+	if !whole && !serverEnded {
+		b.onAbandoned()
+	}
+	b.release(answerLength{
+		bytes:  read,
+		whole:  whole,
+		broken: !whole,
+	})
+	if serverEnded {
+		b.onServerEnded()
+	}
+}
+
 // Close releases the slot and closes the body.
 func (b *slotBody) Close() error {
 	b.once.Do(func() {
+		b.onAbandoned()
 		b.release(answerLength{
 			bytes: b.read.Load(),
 		})
--- a/internal/relay/ibisadmission/rules.go
+++ b/internal/relay/ibisadmission/rules.go
@@ -39,6 +39,7 @@
 	replaced := server.Incarnation != g.server.Incarnation || server.Slots != g.server.Slots || server.Service != g.server.Service
 	if server.Incarnation != g.server.Incarnation {
 		g.notice = ibisset.None[ibismessage.ServerNotice]()
+		g.abandonedUntil = time.Time{}
 	}
 	if g.notice.Or(ibismessage.ServerNotice{}).Leaving {
 		server.State = ibisroster.StateDraining
