--- a/internal/relay/ibisadmission/guard.go
+++ b/internal/relay/ibisadmission/guard.go
@@ -255,7 +255,7 @@
 	end.Failed = answer.Status >= http.StatusInternalServerError
 	g.recordHeaders(id)
 	answer.Body = &slotBody{
-		body: answer.Body,
+		body:          answer.Body,
 		release:       func(length answerLength) { g.finishAnswer(order.Class, length, end) },
 		onAbandoned:   func() { g.abandon(incarnation, began.Add(left)) },
 		onServerEnded: func() { g.ownership.ReportServerEnded(incarnation) },
