soak: a server starts once, and after its predecessor's port is closed

A server that crashes counts as down before its port is closed, and two faults may start a successor at once.

--- a/internal/measure/ibissoak/node.go
+++ b/internal/measure/ibissoak/node.go
@@ -181,10 +181,17 @@
 	return n.start()
 }
 
-// startServer starts a new incarnation of the backend server, under its former id where that is asked for.
+// startServer starts a new incarnation of the backend server, under its former id where that is asked for, unless one runs.
 func (n *node) startServer(sameID bool) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.server != nil {
+		if n.server.Up() {
+			return nil
+		}
+		// A server that is ending counts as down before its port is closed.
+		n.server.Crash()
+	}
 	if !sameID {
 		n.incarnations++
 	}
