ibisadmission: a server that starts with its node need not wait for a second

Suspected cause: where an instance starts as a whole, its cold server starts a little before the node, which took it for one that an earlier run of the node had admitted to, and admitted nothing for 1.1 s.

Change: the server must have started a second before the node for that. What it costs: a node that is killed and starts again within a second of its cold server's start may admit the requests of two seconds in one.

--- a/internal/relay/ibisadmission/guard_test.go
+++ b/internal/relay/ibisadmission/guard_test.go
@@ -229,6 +229,7 @@
 		// A sound server waits no longer than that, and not at all if it is warm or no other gate can have admitted to it.
 		Entry("but not long before", -time.Minute, 1200*time.Millisecond, 2, 3*time.Second, true),
 		Entry("but not to a warm one", -time.Minute, time.Duration(0), 2, time.Duration(0), true),
+		Entry("but none to one that started together with the node", -500*time.Millisecond, time.Duration(0), 2, 3*time.Second, true),
 		Entry("but none to one that started after the node", time.Duration(0), time.Duration(0), 2, 3*time.Second, true),
 	)
 
--- a/internal/relay/ibisadmission/rules.go
+++ b/internal/relay/ibisadmission/rules.go
@@ -11,6 +11,10 @@
 	"github.com/ibisridge/ibisridge/internal/request/ibisadmit"
 )
 
+// shortestNodeRun is how long before the start of the node a backend server must have started for an earlier run of the node to have
+// admitted to it. Where an instance starts as a whole, as after a power loss, its server starts a little before the node.
+const shortestNodeRun = time.Second
+
 // Rules is the configuration of the backend server's service and of its failure domain.
 type Rules struct {
 	// Config is the configuration that the rules come from, nil if keys of accounts are not checked.
@@ -74,7 +78,7 @@
 	switch {
 	case g.gateOf == g.server.Incarnation:
 		return now
-	case g.server.Incarnation.StartedAt < g.startedAt.UnixMilli():
+	case g.server.Incarnation.StartedAt < g.startedAt.Add(-shortestNodeRun).UnixMilli():
 		return g.startedAt
 	}
 	return time.Time{}
