--- a/internal/relay/ibisadmission/link.go
+++ b/internal/relay/ibisadmission/link.go
@@ -15,8 +15,8 @@
 // lengthWindow is the number of answers in the mean length of a class.
 const lengthWindow = 100
 
-// linkTryInterval is how often a class is tried that is refused only because its own answers are expected to be long. A class is
-// served again within a second of an answer that was longer than those after it.
+// linkTryInterval is the least time between two tries of a class that is refused only because its own answers are expected to be too
+// long. It lets a class be served again within a second of one misleading answer.
 const linkTryInterval = 500 * time.Millisecond
 
 // Limits bounds the answers that the instance buffers and sends.
--- a/internal/relay/ibisconnections/watch.go
+++ b/internal/relay/ibisconnections/watch.go
@@ -9,7 +9,7 @@
 }
 
 // OnPeerClosed calls the function once FindClosedPeers finds that the peer has closed the connection or its sending side, also if bytes
-// before that are unread. It returns the function that ends that.
+// before that are unread. The returned function ends the watch.
 func (c *Connections) OnPeerClosed(nc net.Conn, closed func()) (stop func()) {
 	tracked, ok := nc.(*conn)
 	if !ok {
--- a/internal/relay/ibispipeline/end.go
+++ b/internal/relay/ibispipeline/end.go
@@ -65,8 +65,8 @@
 	s.changed.Broadcast()
 }
 
-// withdraw ends the requests of a caller that has disconnected. Its disconnection would be read only after an answer, if as many requests
-// run as are allowed.
+// withdraw ends the requests of a caller that has disconnected. While as many requests run as are allowed, the socket is not read, so the
+// disconnection would show only after an answer.
 func (s *socket) withdraw() {
 	if s.peerGone && s.readErr == nil {
 		s.readErr = io.EOF
--- a/internal/request/ibisadmit/cold.go
+++ b/internal/request/ibisadmit/cold.go
@@ -8,7 +8,7 @@
 	perSecond int
 	until     time.Time
 	recent    []time.Time
-	// fullUntil is until when an unknown number of admissions by an earlier gate counts.
+	// fullUntil is the end of the window in which an earlier gate may have used up the rate.
 	fullUntil time.Time
 }
 
--- a/internal/request/ibisadmit/config.go
+++ b/internal/request/ibisadmit/config.go
@@ -37,8 +37,8 @@
 	ColdStart time.Duration
 	// StartCold makes the gate start with a ramp, for a server that is cold when the gate is created.
 	StartCold bool
-	// EarlierAdmissionsUntil is when an earlier gate of the server, whose admissions are not known, may have admitted requests last;
-	// zero if there was none. A cold server gets none for a second from then on.
+	// EarlierAdmissionsUntil is the latest time at which an earlier gate of the server may have admitted requests, zero if there was no
+	// such gate. Since their number is unknown, a cold server gets no requests for a second from then on.
 	EarlierAdmissionsUntil time.Time
 	// Algorithm selects the algorithm that adapts the limit; empty means AlgorithmGradient.
 	Algorithm LimitAlgorithm
