ibislink: a response without a length that a reset cuts is no longer taken for complete

Callers saw a 200 with a part of its body, as a complete answer, where a backend server answered an upload early without a length and reset the connection while the upload was still being written.

Cause: a socket reports a reset once, to whichever call comes first. The upload is written beside the read of the response, so a write could get the report, and the read then found a clean end. Where the end of the connection is the end of the body, that counted as complete.

Through a node, a caller got "half" as a 200.

Change: writes of a request keep their error. At the end of a body that only the connection ends, writing stops, and the body fails with io.ErrUnexpectedEOF if a write has got a failure of the connection. The read can't find a clean end otherwise: the report went to a read, which fails, or to a write, which is asked under its lock. A reset after an orderly end is reported to writes as EPIPE and leaves the response complete.

What it costs a sound server: one that ends a response without a length by closing a connection whose upload it has not read resets it that way; such a response now always counts as cut, where before it did in some tries. One whose connection times out after its orderly end, before the node has read it, counts as cut, too (from the code). A response with a length, with chunks or with a half-closed connection is not touched.

--- a/internal/relay/ibislink/pool.go
+++ b/internal/relay/ibislink/pool.go
@@ -187,6 +187,7 @@
 	x := &exchange{
 		pool:     p,
 		conn:     c,
+		writer:   newRequestWriter(c.tcp),
 		keepOpen: true,
 	}
 	response, err := x.run(greeting.Request)
--- a/internal/standin/ibisapp/fault.go
+++ b/internal/standin/ibisapp/fault.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
 
 // Fault is what a backend server does wrong with the answers to its requests.
@@ -113,6 +115,23 @@
 // SetFault sets what the server does wrong from its next answer on.
 func (s *Server) SetFault(fault Fault) { s.fault.Store(int32(fault)) }
 
+// SetReply makes the server answer the requests that follow with raw bytes.
+func (s *Server) SetReply(reply func(r *http.Request) ibistcp.Reply) { s.reply.Store(&reply) }
+
+// sendReply answers a request with raw bytes and ends its connection.
+func (s *Server) sendReply(w http.ResponseWriter, r *http.Request, reply ibistcp.Reply) {
+	if !reply.Early {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if reply.Send(conn, r) {
+		_ = conn.Close()
+	}
+}
+
 // writeHalf sends the head and the first half of an answer.
 func (s *Server) writeHalf(w http.ResponseWriter, id string) {
 	body := Body(id, max(len(id), s.config.Body))
--- a/internal/standin/ibisapp/server.go
+++ b/internal/standin/ibisapp/server.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
 
 // Config is what a backend server is.
@@ -67,6 +69,8 @@
 	up atomic.Bool
 	// fault is a Fault.
 	fault atomic.Int32
+	// reply returns the raw answer to a request, nil if requests are run.
+	reply atomic.Pointer[func(r *http.Request) ibistcp.Reply]
 
 	mu      sync.Mutex
 	leaving bool
@@ -152,6 +156,11 @@
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
+	if reply := s.reply.Load(); reply != nil {
+		s.ledger.begin(s, id, r.Method == http.MethodPost, -1)
+		s.sendReply(w, r, (*reply)(r))
+		return
+	}
 	w.Header().Set("Attempt-Id", id)
 	s.checkNotice(id)
 	if tenant, ok := r.Header["Tenant"]; ok {
--- a/internal/standin/ibistcp/server.go
+++ b/internal/standin/ibistcp/server.go
@@ -11,21 +11,38 @@
 // whether the connection is closed afterwards.
 type Answer func(connection, number int, r *http.Request) (bytes string, closing bool)
 
-// Server reads HTTP requests, with their bodies, and answers them with raw bytes.
+// Server reads HTTP requests and answers them with raw bytes.
 type Server struct {
 	listener net.Listener
-	answer   Answer
+	reply    func(connection, number int, r *http.Request) Reply
 }
 
-// Start returns a server that listens on the loopback address; it must be closed. It fails if it can't listen.
+// Start returns a server that listens on the loopback address and answers requests once it has read their bodies; it must be closed. It
+// fails if it can't listen.
 func Start(answer Answer) (*Server, error) {
+	return StartReplies(func(connection, number int, r *http.Request) Reply {
+		_, _ = io.Copy(io.Discard, r.Body)
+		bytes, closing := answer(connection, number, r)
+		reply := Reply{
+			Bytes: bytes,
+		}
+		if closing {
+			reply.End = EndClose
+		}
+		return reply
+	})
+}
+
+// StartReplies returns a server that listens on the loopback address and answers with what the function returns, by the numbers of the
+// connection and of the request on it, both from 0; it must be closed. It fails if it can't listen.
+func StartReplies(reply func(connection, number int, r *http.Request) Reply) (*Server, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{
 		listener: listener,
-		answer:   answer,
+		reply:    reply,
 	}
 	go s.accept()
 	return s, nil
@@ -48,16 +65,14 @@
 }
 
 func (s *Server) serve(conn net.Conn, connection int) {
-	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for number := 0; ; number++ {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
+			_ = conn.Close()
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		bytes, closing := s.answer(connection, number, r)
-		if _, err := io.WriteString(conn, bytes); err != nil || closing {
+		if !s.reply(connection, number, r).Send(conn, r) {
 			return
 		}
 	}
