ibishead: an answer whose status is neither interim nor final is rejected

Callers of the relay got the bytes behind an answer with status 000 as their answer, and a 101 that nobody had asked for as it was.

Cause: ibislink took every status below 200 except 101 for an interim response and read on. net/http parses any three digits, and a sign and two. `ibisridge node` rejected such answers, but kept their connection; its load reports ignored the status.

Evidence, on the code before: statuses 000, 001, 020, 099 and +20 before a sound answer gave callers that answer, 101 came through with status 101, 20 and 2000 were rejected by net/http.

Change: package ibishead checks the head of a response byte by byte as it is read, before net/http parses it: a status is 100 to 199 except 101, or 200 to 999. From a fault on the connection can't be read, so the response fails as one that breaks off does (502, outcome unknown, not run again if it is non-idempotent), and the connection can't be used again.

Why that works: the check ends where net/http's head ends, and the bytes that it lets pass before a fault hold no whole final head (tested for pieces of any size).

Tested sound: 100 and 103 before an answer, folded values, fields without a value, statuses up to 599. What it costs a sound server: nothing known; the project asks no server for another protocol.

--- a/internal/peer/ibisbackend/client.go
+++ b/internal/peer/ibisbackend/client.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/ibisridge/ibisridge/internal/peer/ibishead"
 )
 
 const (
@@ -22,7 +24,7 @@
 type Client struct {
 	address          string
 	requestTransport *http.Transport
-	controlTransport *http.Transport
+	controlTransport *ibishead.Transport
 }
 
 // ClientOption configures a Client.
@@ -44,7 +46,7 @@
 	return &Client{
 		address:          address,
 		requestTransport: newTransport(guardedDial(dial), max(1, connections-controlConnections)),
-		controlTransport: newTransport(dial, controlConnections),
+		controlTransport: ibishead.NewTransport(newTransport(dial, controlConnections)),
 	}
 }
 
--- a/internal/peer/ibisbackend/send_test.go
+++ b/internal/peer/ibisbackend/send_test.go
@@ -200,6 +200,28 @@
 		Entry("that says that it did not run", "HTTP/1.1 503 No\r\nX-Ibis-Not-Run: true\r\nContent-Length: 0\r\n\r\n"),
 	)
 
+	// Guards against an answer that is read out of a head as its sender didn't mean it, and a connection that is used after that.
+	It("takes no answer with a malformed head, and doesn't use its connection again", func() {
+		for name, malformed := range ibistcp.MalformedHeads() {
+			server, err := ibistcp.Start(func(connection, _ int, r *http.Request) (string, bool) {
+				if connection == 0 || r.URL.Path == ibisbackend.PathLoad || r.URL.Path == ibisbackend.PathHealth {
+					return malformed + "X-Ibis-Not-Run: true\r\nContent-Length: 2\r\n\r\n{}", false
+				}
+				return okAnswer, false
+			})
+			Expect(err).NotTo(HaveOccurred())
+			client := ibisbackend.NewClient(server.Address(), 2)
+			Expect(client.Send(ctx, newRequest(http.MethodPost, nil)).Outcome).To(Equal(ibisid.OutcomeUnknown), name)
+			Expect(readAll(client.Send(ctx, newRequest(http.MethodPost, nil)))).To(Equal("ok"), name)
+			_, err = client.Load(ctx, time.Now)
+			Expect(err).To(HaveOccurred(), name)
+			healthy, err := client.Healthy(ctx)
+			Expect(healthy && err == nil).To(BeFalse(), name)
+			client.Close()
+			server.Close()
+		}
+	})
+
 	// Guards against bytes without end that are no answer and fill the memory of the node.
 	It("keeps nothing of an answer without end", func() {
 		address, err := ibistcp.FreeAddress("127.0.0.1")
--- a/internal/peer/ibisbackend/sendguard.go
+++ b/internal/peer/ibisbackend/sendguard.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"sync"
+
+	"github.com/ibisridge/ibisridge/internal/peer/ibishead"
 )
 
 var (
@@ -78,14 +80,15 @@
 
 // guardedConn is a connection that writes only if the sendGuard of its current request allows it.
 type guardedConn struct {
-	net.Conn
+	*ibishead.Conn
 
 	mu      sync.Mutex
 	current *sendGuard
 }
 
-// setGuard sets the request that may write to the connection from now on.
+// setGuard sets the request that may write to the connection, and whose answer is read from it, from now on.
 func (c *guardedConn) setGuard(g *sendGuard) {
+	_ = c.BeginResponse(nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current = g
@@ -117,7 +120,7 @@
 			return nil, err
 		}
 		return &guardedConn{
-			Conn: conn,
+			Conn: ibishead.NewConn(conn),
 		}, nil
 	}
 }
--- /dev/null
+++ b/internal/peer/ibishead/checker.go
@@ -0,0 +1,125 @@
+package ibishead
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrMalformed reports the head of a response that no sound server sends.
+var ErrMalformed = errors.New("malformed response head")
+
+// state is the part of a head to which the next byte belongs.
+type state int
+
+const (
+	// stateProtocol is the status line up to the first blank.
+	stateProtocol state = iota
+	// stateStatus is the status code with the blanks before it.
+	stateStatus
+	// stateRest is the rest of a line.
+	stateRest
+	// stateLineStart is the begin of a line after the status line.
+	stateLineStart
+	// stateEnd is what follows the head.
+	stateEnd
+)
+
+// statusDigits is the number of digits of a status code.
+const statusDigits = 3
+
+// Checker checks the head of a response, with the interim ones before it, byte by byte. The zero value is ready for use.
+type Checker struct {
+	state  state
+	status int
+	digits int
+	err    error
+}
+
+// Begin makes the next byte the first one of a response. A fault lasts.
+func (c *Checker) Begin() {
+	*c = Checker{
+		err: c.err,
+	}
+}
+
+// Check checks the next bytes. It returns the number of bytes before the first fault and that fault, an ErrMalformed; what follows the
+// head is not checked.
+func (c *Checker) Check(p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
+	for i, b := range p {
+		if c.state == stateEnd {
+			break
+		}
+		if c.err = c.next(b); c.err != nil {
+			return i, c.err
+		}
+	}
+	return len(p), nil
+}
+
+func (c *Checker) next(b byte) error {
+	switch c.state {
+	case stateProtocol:
+		return c.nextOfProtocol(b)
+	case stateStatus:
+		return c.nextOfStatus(b)
+	case stateRest:
+		if b == '\n' {
+			c.state = stateLineStart
+		}
+	case stateLineStart:
+		switch b {
+		case '\n':
+			c.endHead()
+		case '\r':
+		default:
+			c.state = stateRest
+		}
+	case stateEnd:
+	}
+	return nil
+}
+
+func (c *Checker) nextOfProtocol(b byte) error {
+	switch b {
+	case ' ':
+		c.state = stateStatus
+	case '\n':
+		return fmt.Errorf("%w: no status", ErrMalformed)
+	}
+	return nil
+}
+
+func (c *Checker) nextOfStatus(b byte) error {
+	switch {
+	case b == ' ' && c.digits == 0:
+		return nil
+	case '0' <= b && b <= '9' && c.digits < statusDigits:
+		c.status = 10*c.status + int(b-'0')
+		c.digits++
+		return nil
+	case c.digits < statusDigits || b != ' ' && b != '\r' && b != '\n':
+		return fmt.Errorf("%w: status is not a number of %d digits", ErrMalformed, statusDigits)
+	}
+	// No request of this project asks for another protocol.
+	if c.status < http.StatusContinue || c.status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: status %03d", ErrMalformed, c.status)
+	}
+	c.state = stateRest
+	if b == '\n' {
+		c.state = stateLineStart
+	}
+	return nil
+}
+
+// endHead ends a head: a response follows an interim one.
+func (c *Checker) endHead() {
+	if c.status < http.StatusOK {
+		c.Begin()
+		return
+	}
+	c.state = stateEnd
+}
--- /dev/null
+++ b/internal/peer/ibishead/checker_test.go
@@ -0,0 +1,64 @@
+package ibishead_test
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/ibisridge/ibisridge/internal/peer/ibishead"
+	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
+)
+
+// check checks a text in pieces of a number of bytes, and returns the number of bytes before the first fault.
+func check(text string, size int) (int, error) {
+	var checker ibishead.Checker
+	sound := 0
+	for rest := []byte(text); len(rest) > 0; rest = rest[min(size, len(rest)):] {
+		n, err := checker.Check(rest[:min(size, len(rest))])
+		sound += n
+		if err != nil {
+			return sound, err
+		}
+	}
+	return sound, nil
+}
+
+// TestSound guards against sound answers that are rejected.
+func TestSound(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n",
+		"HTTP/1.1 200\r\n\r\n",
+		"HTTP/1.0 200 OK\n\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+		"HTTP/1.1 599 Odd\r\n!#$%&'*+-.^_`|~09azAZ:\r\nEmpty:\r\nText: a: b\tc \xe4\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nFolded: a\r\n b\r\n\tc\r\n\r\n",
+	} {
+		// Nothing behind the head is checked.
+		text := head + "HTTP/1.1 000\r\n a b: c\r\n"
+		for size := 1; size <= len(text); size++ {
+			if n, err := check(text, size); n != len(text) || err != nil {
+				t.Fatalf("%q in pieces of %d: %v after %d bytes", text, size, err, n)
+			}
+		}
+	}
+}
+
+// TestMalformed guards against malformed heads that are parsed: the bytes before the fault must not contain the end of the head.
+func TestMalformed(t *testing.T) {
+	for name, head := range ibistcp.MalformedHeads() {
+		text := "HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\n"
+		for size := 1; size <= len(text); size++ {
+			n, err := check(text, size)
+			if err == nil {
+				t.Fatalf("%s in pieces of %d: no fault", name, size)
+			}
+			reader := bufio.NewReader(strings.NewReader(text[:n]))
+			for range 2 {
+				if response, err := http.ReadResponse(reader, nil); err == nil && response.StatusCode != http.StatusContinue {
+					t.Fatalf("%s in pieces of %d: %q is parsed as %d", name, size, text[:n], response.StatusCode)
+				}
+			}
+		}
+	}
+}
--- a/internal/relay/ibislink/broken_test.go
+++ b/internal/relay/ibislink/broken_test.go
@@ -11,6 +11,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/ibisridge/ibisridge/internal/base/ibisset"
+	"github.com/ibisridge/ibisridge/internal/peer/ibishead"
 	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
@@ -112,3 +114,25 @@
 		}
 	}
 })
+
+// Guards against a head that is skipped as an interim one, or out of which another answer is read than its sender meant.
+var _ = It("A response with a malformed head fails, and its connection isn't used again", func() {
+	for name, malformed := range ibistcp.MalformedHeads() {
+		address, _ := serve(func(connection, _ int, id string) (string, bool) {
+			sound := completeResponse(id, "sound")
+			if connection > 0 {
+				return sound, false
+			}
+			return "HTTP/1.1 103 Early Hints\r\n\r\n" + malformed + "Id: " + id + "\r\nContent-Length: 0\r\n\r\n" + sound, false
+		})
+		p := ibislink.New(ibislink.Options{Address: address, IDHeader: "Id", Refusals: ibisset.Of(503)})
+		DeferCleanup(p.Close)
+		_, err := p.Exchange(context.Background(), request("r1"))
+		Expect(err).To(MatchError(ibishead.ErrMalformed), name)
+		Expect(err).NotTo(MatchError(ibislink.ErrNotSent), name)
+		response, err := p.Exchange(context.Background(), request("r2"))
+		Expect(err).NotTo(HaveOccurred(), name)
+		Expect(read(response)).To(Equal("sound"), name)
+		Expect(p.Opened()).To(BeEquivalentTo(2), name)
+	}
+})
--- a/internal/relay/ibislink/conn.go
+++ b/internal/relay/ibislink/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/ibisridge/ibisridge/internal/peer/ibishead"
 )
 
 const (
@@ -23,6 +25,8 @@
 // conn is a connection with its read buffer.
 type conn struct {
 	tcp *net.TCPConn
+	// checked reads from tcp and checks the heads of responses.
+	checked *ibishead.Conn
 	// source limits what is read while a head is.
 	source    *io.LimitedReader
 	reader    *bufio.Reader
@@ -53,22 +57,31 @@
 }
 
 func newConn(tcp *net.TCPConn) *conn {
+	checked := ibishead.NewConn(tcp)
 	source := &io.LimitedReader{
-		R: tcp,
+		R: checked,
 		N: math.MaxInt64,
 	}
 	return &conn{
-		tcp:    tcp,
-		source: source,
-		reader: bufio.NewReaderSize(source, bufferBytes),
+		tcp:     tcp,
+		checked: checked,
+		source:  source,
+		reader:  bufio.NewReaderSize(source, bufferBytes),
 	}
 }
 
 // readHead reads the head of a response, at most limit bytes, and returns its size in bytes as well. It fails with
-// ErrLongHead if the head doesn't end within the limit.
+// ErrLongHead if the head doesn't end within the limit, and with ibishead.ErrMalformed if no sound server sends it.
 func (c *conn) readHead(request *http.Request, limit int64) (*http.Response, int64, error) {
 	c.source.N = limit - int64(c.reader.Buffered())
+	readAhead, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.checked.BeginResponse(readAhead); err != nil {
+		return nil, 0, err
+	}
 	response, err := http.ReadResponse(c.reader, request)
+	if fault := c.checked.Fault(); err != nil && fault != nil {
+		err = fault
+	}
 	if err != nil && c.source.N <= 0 {
 		err = fmt.Errorf("%w: %w", ErrLongHead, err)
 	}
--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -149,7 +149,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response from %s: %w", x.pool.options.Address, err)
 		}
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		got := ""
