ibishead: an answer with a blank in the name of a field is rejected

Callers got such a line passed on, and, where the blank stood behind the name of a framing field, a body that was not the backend server's: with "Content-Length : 5" all bytes up to the end of the connection, "whole, and more" instead of "whole".

Cause: net/http accepts blanks in names and keeps them as they are, so that no reader knows the field. A line that begins with a blank continues the value before it, so " Content-Length: 3" is hidden in that value.

Evidence, on the code before: names with a blank in them or behind them, and before them on a line that isn't the first, came through, at ibislink, at `ibisridge node`, in health checks and at the store's client. Control bytes, bytes above 0x7e, an empty name and a line without a colon were rejected by net/http already; their tests stay.

Change: the check of heads takes only tokens for names. A line that begins with blanks is still the continuation of a value (RFC 9112, 5.2, lets a gateway replace or reject it), but not where a name and a colon follow.

What it costs a sound server: one that continues a value with a word and a colon, such as a URL, on its own line gets a 502; senders must not fold (RFC 9112). Any other folded value is accepted as before.

--- a/internal/peer/ibishead/checker.go
+++ b/internal/peer/ibishead/checker.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed reports the head of a response that no sound server sends.
@@ -21,6 +23,14 @@
 	stateRest
 	// stateLineStart is the begin of a line after the status line.
 	stateLineStart
+	// stateLineFeed is the line feed that ends the head.
+	stateLineFeed
+	// stateName is the name of a field, without its first byte.
+	stateName
+	// stateFold is the blanks at the begin of a line, which continues the value of a field.
+	stateFold
+	// stateFoldWord is the first word of such a line, without its first byte.
+	stateFoldWord
 	// stateEnd is what follows the head.
 	stateEnd
 )
@@ -71,18 +81,66 @@
 			c.state = stateLineStart
 		}
 	case stateLineStart:
-		switch b {
-		case '\n':
-			c.endHead()
-		case '\r':
-		default:
+		return c.nextOfLine(b)
+	case stateLineFeed:
+		if b != '\n' {
+			return nameFault('\r')
+		}
+		c.endHead()
+	case stateName:
+		if b == ':' {
 			c.state = stateRest
+		} else if !isToken(b) {
+			return nameFault(b)
 		}
+	case stateFold, stateFoldWord:
+		return c.nextOfFold(b)
 	case stateEnd:
 	}
 	return nil
 }
 
+func (c *Checker) nextOfLine(b byte) error {
+	switch {
+	case b == '\n':
+		c.endHead()
+	case b == '\r':
+		c.state = stateLineFeed
+	case isBlank(b):
+		c.state = stateFold
+	case isToken(b):
+		c.state = stateName
+	default:
+		return nameFault(b)
+	}
+	return nil
+}
+
+// nextOfFold checks a line that begins with a blank. Where a field could begin behind it, the blank may as well belong to the name of
+// that field.
+func (c *Checker) nextOfFold(b byte) error {
+	switch {
+	case b == '\n':
+		c.state = stateLineStart
+	case isToken(b):
+		c.state = stateFoldWord
+	case b == ':' && c.state == stateFoldWord:
+		return nameFault(' ')
+	case !isBlank(b) || c.state == stateFoldWord:
+		c.state = stateRest
+	}
+	return nil
+}
+
+func isBlank(b byte) bool { return b == ' ' || b == '\t' }
+
+func isToken(b byte) bool { return httpguts.IsTokenRune(rune(b)) }
+
+// nameFault returns the fault of a field whose name has the byte.
+func nameFault(b byte) error {
+	return fmt.Errorf("%w: %q in the name of a field", ErrMalformed, b)
+}
+
 func (c *Checker) nextOfProtocol(b byte) error {
 	switch b {
 	case ' ':
--- a/internal/peer/ibishead/checker_test.go
+++ b/internal/peer/ibishead/checker_test.go
@@ -62,3 +62,27 @@
 		}
 	}
 }
+
+// FuzzChecker compares the checker with net/http: what both accept is sound, and the checker rejects nothing else that net/http accepts.
+func FuzzChecker(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n")
+	for _, head := range ibistcp.MalformedHeads() {
+		f.Add(head + "\r\n")
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		_, fault := check(text, len(text))
+		response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+		if err != nil {
+			return
+		}
+		sound := response.StatusCode >= http.StatusContinue && response.StatusCode != http.StatusSwitchingProtocols
+		for name := range response.Header {
+			sound = sound && !strings.Contains(name, " ")
+		}
+		folded := strings.Contains(text, "\n ") || strings.Contains(text, "\n\t")
+		interim := response.StatusCode < http.StatusOK
+		if fault == nil && !sound || fault != nil && sound && !folded && !interim {
+			t.Errorf("%q: %v, parsed as %d with %v", text, fault, response.StatusCode, response.Header)
+		}
+	})
+}
