ibisrequestrouter: a cut answer without a length resets the connection of an HTTP/1.0 caller

Callers of `ibisridge node` that speak HTTP/1.0 got the part of an answer that had arrived as a complete one when the backend server, or the node beside it, broke it off.

Cause: for HTTP/1.0 net/http sends an answer in chunks without framing, so that the end of the connection ends it, and an aborted handler closes the connection in order. HTTP/1.1 callers lack the last chunk and see the cut.

Change: the connection is taken from net/http and reset.

Not tested: the same over TLS (from the code: the reset is below the TLS connection, which sends no close_notify). A node that ends midway through such an answer still closes in order. What it costs a sound server: nothing, whole answers end as before.

--- a/internal/node/ibisrequestrouter/router.go
+++ b/internal/node/ibisrequestrouter/router.go
@@ -179,7 +179,7 @@
 		w.Header().Set(headerLoad, formatLoad(rt.gate.Load()))
 		rt.reportTypical(q, w.Header())
 	}
-	rt.write(w, outcome)
+	rt.write(w, r, outcome)
 }
 
 // read parses and checks the request. It reads the body only after all other checks have passed.
--- a/internal/node/ibisrequestrouter/stream_test.go
+++ b/internal/node/ibisrequestrouter/stream_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -43,6 +44,31 @@
 		Entry("over a hop, by chunks", 1, true),
 	)
 
+	// Guards against a part of an answer that only the end of the connection ends: an orderly end makes it the whole.
+	DescribeTable("that ends early is cut by a reset where its end is that of the connection", func(at int, whole bool) {
+		f := newFleet(keyed, 2)
+		f.answer(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("x", 50_000))
+			_ = http.NewResponseController(w).Flush()
+			if !whole {
+				panic(http.ErrAbortHandler)
+			}
+		})
+		conn, err := net.Dial("tcp4", f.nodes[at].callers.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "GET /mat/MAT-1 HTTP/1.0\r\nAuthorization: Bearer %s\r\n\r\n", shopToken)
+		Expect(err).NotTo(HaveOccurred())
+		text, err := io.ReadAll(conn)
+		Expect(string(text)).To(HavePrefix("HTTP/1.0 200"))
+		Expect(err == nil).To(Equal(whole), "%d bytes, %v", len(text), err)
+	},
+		Entry("at the gate", 0, false),
+		Entry("over a hop", 1, false),
+		Entry("at the gate, but not if it is whole", 0, true),
+		Entry("over a hop, but not if it is whole", 1, true),
+	)
+
 	It("may be streamed for longer than the deadline and the time limit for the request body", func() {
 		slow := func(w http.ResponseWriter, _ *http.Request) {
 			for range 10 {
--- a/internal/node/ibisrequestrouter/ticket.go
+++ b/internal/node/ibisrequestrouter/ticket.go
@@ -54,7 +54,7 @@
 		rt.writeTicket(w, q)
 		return
 	}
-	rt.write(w, rt.forward(r.Context(), q, owner, roleOwner, nil))
+	rt.write(w, r, rt.forward(r.Context(), q, owner, roleOwner, nil))
 }
 
 // issueTicket answers a request for a ticket that another node forwarded to this one as the owner.
@@ -144,7 +144,7 @@
 	}
 	header := http.Header{}
 	header.Set("Content-Type", "application/json")
-	rt.write(w, result{
+	rt.write(w, q.http, result{
 		outcome: ibisid.OutcomeDone,
 		answer:  ibisbackend.NewStoredAnswer(http.StatusCreated, header, body),
 	})
--- a/internal/node/ibisrequestrouter/write.go
+++ b/internal/node/ibisrequestrouter/write.go
@@ -1,8 +1,10 @@
 package ibisrequestrouter
 
 import (
+	"crypto/tls"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -26,9 +28,9 @@
 	},
 }
 
-// write sends a result as the response. If the answer ends early, it aborts the connection, so that the receiver can't take
-// the response for a complete one.
-func (rt *Router) write(w http.ResponseWriter, r result) {
+// write sends a result as the response to a request. If the answer ends early, it aborts the connection, so that the receiver can't
+// take the response for a complete one.
+func (rt *Router) write(w http.ResponseWriter, request *http.Request, r result) {
 	if r.answer == nil {
 		r.refusal.Write(w)
 		return
@@ -36,7 +38,8 @@
 	body := r.answer.Body()
 	defer func() { _ = body.Close() }()
 	writeHead(w, r.answer, r.outcome)
-	if length := r.answer.Length(); r.bodyPending || length < 0 || length > copyBufferBytes {
+	length := r.answer.Length()
+	if r.bodyPending || length < 0 || length > copyBufferBytes {
 		// The node that forwarded the request has a time limit for the response headers but none for the body.
 		_ = http.NewResponseController(w).Flush()
 	}
@@ -49,9 +52,28 @@
 	default:
 		return
 	}
+	if length < 0 && !request.ProtoAtLeast(1, 1) {
+		resetConnection(w)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection resets the connection of a response. In HTTP/1.0 an orderly end would complete one without a length.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if secure, ok := conn.(*tls.Conn); ok {
+		// Closing the TLS connection would tell the peer of an orderly end.
+		conn = secure.NetConn()
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func writeHead(w http.ResponseWriter, answer *ibisbackend.Answer, outcome ibisid.Outcome) {
 	header := w.Header()
 	maps.Copy(header, answer.Header())
