ibishead: a transfer encoding in an HTTP/1.0 answer is rejected

Callers got the chunks of such an answer, with their sizes, as its body ("5\r\nwhole\r\n0\r\n"). Found in the table of framings, not reported.

Cause: net/http drops the field in HTTP/1.0 and takes the end of the connection, or a length beside it, for the end of the body. RFC 9112, 6.1, calls the framing of such a message faulty.

Change: the check of heads rejects the field in HTTP/1.0.

What it costs a sound server: nothing, HTTP/1.0 has no transfer encodings.

--- a/internal/peer/ibishead/checker.go
+++ b/internal/peer/ibishead/checker.go
@@ -35,15 +35,24 @@
 	stateEnd
 )
 
-// statusDigits is the number of digits of a status code.
-const statusDigits = 3
+const (
+	// statusDigits is the number of digits of a status code.
+	statusDigits = 3
+	// transferEncoding is the name, in lower case, of the field that HTTP/1.0 doesn't have. A server that sends it there may mean chunks,
+	// which net/http would read as the body.
+	transferEncoding = "transfer-encoding"
+)
 
 // Checker checks the head of a response, with the interim ones before it, byte by byte. The zero value is ready for use.
 type Checker struct {
-	state  state
+	state state
+	// minor is the last byte of the protocol.
+	minor  byte
 	status int
 	digits int
-	err    error
+	// matched is the number of bytes of a name that are those of transferEncoding, -1 if another one is among them.
+	matched int
+	err     error
 }
 
 // Begin makes the next byte the first one of a response. A fault lasts.
@@ -88,11 +97,7 @@
 		}
 		c.endHead()
 	case stateName:
-		if b == ':' {
-			c.state = stateRest
-		} else if !isToken(b) {
-			return nameFault(b)
-		}
+		return c.nextOfName(b)
 	case stateFold, stateFoldWord:
 		return c.nextOfFold(b)
 	case stateEnd:
@@ -108,10 +113,30 @@
 		c.state = stateLineFeed
 	case isBlank(b):
 		c.state = stateFold
-	case isToken(b):
-		c.state = stateName
 	default:
+		c.state = stateName
+		c.matched = 0
+		if b == ':' {
+			return nameFault(b)
+		}
+		return c.nextOfName(b)
+	}
+	return nil
+}
+
+func (c *Checker) nextOfName(b byte) error {
+	switch {
+	case b == ':':
+		c.state = stateRest
+		if c.minor == '0' && c.matched == len(transferEncoding) {
+			return fmt.Errorf("%w: transfer encoding in HTTP/1.0", ErrMalformed)
+		}
+	case !isToken(b):
 		return nameFault(b)
+	case c.matched >= 0 && c.matched < len(transferEncoding) && b|('a'-'A') == transferEncoding[c.matched]:
+		c.matched++
+	default:
+		c.matched = -1
 	}
 	return nil
 }
@@ -147,6 +172,8 @@
 		c.state = stateStatus
 	case '\n':
 		return fmt.Errorf("%w: no status", ErrMalformed)
+	default:
+		c.minor = b
 	}
 	return nil
 }
--- a/internal/standin/ibistcp/malformed.go
+++ b/internal/standin/ibistcp/malformed.go
@@ -16,5 +16,6 @@
 	} {
 		heads[fmt.Sprintf("field %q", field)] = "HTTP/1.1 200 OK\r\nServer: s\r\n" + field + "\r\n"
 	}
+	heads["transfer encoding in HTTP/1.0"] = "HTTP/1.0 200 OK\r\ntransfer-Encoding: chunked\r\n"
 	return heads
 }
