ibisresponse: an object whose upload a reset cut no longer counts as stored

Cause: as in ibislink. The store's client reads through an http.Transport, which writes the request beside the read of the answer, and a write that gets the report of a reset leaves the read a clean end.

Change: the check of writes moves from ibislink to the connections that check heads, whose package is now called ibisresponse: a read that reaches the end of a connection after a write has got a failure of it fails with io.ErrUnexpectedEOF.

New for the sound side, ok on the code before as well: `ibisridge node` takes whole answers with a length or chunks that come during an upload of 8 MB, after 103, however their connection ends. It takes none without a length, as before.

--- a/internal/peer/ibisbackend/client.go
+++ b/internal/peer/ibisbackend/client.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/ibisridge/ibisridge/internal/peer/ibishead"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisresponse"
 )
 
 const (
@@ -24,7 +24,7 @@
 type Client struct {
 	address          string
 	requestTransport *http.Transport
-	controlTransport *ibishead.Transport
+	controlTransport *ibisresponse.Transport
 }
 
 // ClientOption configures a Client.
@@ -46,7 +46,7 @@
 	return &Client{
 		address:          address,
 		requestTransport: newTransport(guardedDial(dial), max(1, connections-controlConnections)),
-		controlTransport: ibishead.NewTransport(newTransport(dial, controlConnections)),
+		controlTransport: ibisresponse.NewTransport(newTransport(dial, controlConnections)),
 	}
 }
 
--- a/internal/peer/ibisbackend/send_test.go
+++ b/internal/peer/ibisbackend/send_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -200,6 +201,31 @@
 		Entry("that says that it did not run", "HTTP/1.1 503 No\r\nX-Ibis-Not-Run: true\r\nContent-Length: 0\r\n\r\n"),
 	)
 
+	DescribeTable("takes a whole answer that is sent during the upload, and none whose end isn't known",
+		func(head, body string, whole bool) {
+			for _, end := range []ibistcp.End{ibistcp.EndNone, ibistcp.EndClose, ibistcp.EndReset, ibistcp.EndCloseReset} {
+				server, err := ibistcp.StartReplies(func(int, int, *http.Request) ibistcp.Reply {
+					return ibistcp.Reply{Bytes: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + head + "\r\n" + body, Early: true, End: end}
+				})
+				Expect(err).NotTo(HaveOccurred())
+				client := ibisbackend.NewClient(server.Address(), 2)
+				request := newRequest(http.MethodPost, nil)
+				request.Body, request.Length = bytes.NewReader(make([]byte, 8<<20)), 8<<20
+				result := client.Send(ctx, request)
+				if whole {
+					Expect(readAll(result)).To(Equal("ok"), "end %d", end)
+				} else {
+					Expect(result.Outcome).To(Equal(ibisid.OutcomeUnknown), "end %d", end)
+				}
+				client.Close()
+				server.Close()
+			}
+		},
+		Entry("with a length", "Content-Length: 2\r\n", "ok", true),
+		Entry("in chunks", "Transfer-Encoding: chunked\r\n", "2\r\nok\r\n0\r\n\r\n", true),
+		Entry("without a length", "", "ok", false),
+	)
+
 	// Guards against an answer that is read out of a head as its sender didn't mean it, and a connection that is used after that.
 	It("takes no answer with a malformed head, and doesn't use its connection again", func() {
 		for name, malformed := range ibistcp.MalformedHeads() {
--- a/internal/peer/ibisbackend/sendguard.go
+++ b/internal/peer/ibisbackend/sendguard.go
@@ -6,7 +6,7 @@
 	"net"
 	"sync"
 
-	"github.com/ibisridge/ibisridge/internal/peer/ibishead"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisresponse"
 )
 
 var (
@@ -80,7 +80,7 @@
 
 // guardedConn is a connection that writes only if the sendGuard of its current request allows it.
 type guardedConn struct {
-	*ibishead.Conn
+	*ibisresponse.Conn
 
 	mu      sync.Mutex
 	current *sendGuard
@@ -120,7 +120,7 @@
 			return nil, err
 		}
 		return &guardedConn{
-			Conn: ibishead.NewConn(conn),
+			Conn: ibisresponse.NewConn(conn),
 		}, nil
 	}
 }
--- a/internal/peer/ibishead/checker.go
+++ b/internal/peer/ibisresponse/head.go
@@ -1,4 +1,4 @@
-package ibishead
+package ibisresponse
 
 import (
 	"errors"
@@ -43,8 +43,8 @@
 	transferEncoding = "transfer-encoding"
 )
 
-// Checker checks the head of a response, with the interim ones before it, byte by byte. The zero value is ready for use.
-type Checker struct {
+// HeadChecker checks the head of a response, with the interim ones before it, byte by byte. The zero value is ready for use.
+type HeadChecker struct {
 	state state
 	// minor is the last byte of the protocol.
 	minor  byte
@@ -56,15 +56,15 @@
 }
 
 // Begin makes the next byte the first one of a response. A fault lasts.
-func (c *Checker) Begin() {
-	*c = Checker{
+func (c *HeadChecker) Begin() {
+	*c = HeadChecker{
 		err: c.err,
 	}
 }
 
 // Check checks the next bytes. It returns the number of bytes before the first fault and that fault, an ErrMalformed; what follows the
 // head is not checked.
-func (c *Checker) Check(p []byte) (int, error) {
+func (c *HeadChecker) Check(p []byte) (int, error) {
 	if c.err != nil {
 		return 0, c.err
 	}
@@ -79,7 +79,7 @@
 	return len(p), nil
 }
 
-func (c *Checker) next(b byte) error {
+func (c *HeadChecker) next(b byte) error {
 	switch c.state {
 	case stateProtocol:
 		return c.nextOfProtocol(b)
@@ -105,7 +105,7 @@
 	return nil
 }
 
-func (c *Checker) nextOfLine(b byte) error {
+func (c *HeadChecker) nextOfLine(b byte) error {
 	switch {
 	case b == '\n':
 		c.endHead()
@@ -124,7 +124,7 @@
 	return nil
 }
 
-func (c *Checker) nextOfName(b byte) error {
+func (c *HeadChecker) nextOfName(b byte) error {
 	switch {
 	case b == ':':
 		c.state = stateRest
@@ -143,7 +143,7 @@
 
 // nextOfFold checks a line that begins with a blank. Where a field could begin behind it, the blank may as well belong to the name of
 // that field.
-func (c *Checker) nextOfFold(b byte) error {
+func (c *HeadChecker) nextOfFold(b byte) error {
 	switch {
 	case b == '\n':
 		c.state = stateLineStart
@@ -166,7 +166,7 @@
 	return fmt.Errorf("%w: %q in the name of a field", ErrMalformed, b)
 }
 
-func (c *Checker) nextOfProtocol(b byte) error {
+func (c *HeadChecker) nextOfProtocol(b byte) error {
 	switch b {
 	case ' ':
 		c.state = stateStatus
@@ -178,7 +178,7 @@
 	return nil
 }
 
-func (c *Checker) nextOfStatus(b byte) error {
+func (c *HeadChecker) nextOfStatus(b byte) error {
 	switch {
 	case b == ' ' && c.digits == 0:
 		return nil
@@ -201,7 +201,7 @@
 }
 
 // endHead ends a head: a response follows an interim one.
-func (c *Checker) endHead() {
+func (c *HeadChecker) endHead() {
 	if c.status < http.StatusOK {
 		c.Begin()
 		return
--- a/internal/peer/ibishead/checker_test.go
+++ b/internal/peer/ibisresponse/head_test.go
@@ -1,4 +1,4 @@
-package ibishead_test
+package ibisresponse_test
 
 import (
 	"bufio"
@@ -6,13 +6,13 @@
 	"strings"
 	"testing"
 
-	"github.com/ibisridge/ibisridge/internal/peer/ibishead"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisresponse"
 	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
 
 // check checks a text in pieces of a number of bytes, and returns the number of bytes before the first fault.
 func check(text string, size int) (int, error) {
-	var checker ibishead.Checker
+	var checker ibisresponse.HeadChecker
 	sound := 0
 	for rest := []byte(text); len(rest) > 0; rest = rest[min(size, len(rest)):] {
 		n, err := checker.Check(rest[:min(size, len(rest))])
@@ -24,8 +24,8 @@
 	return sound, nil
 }
 
-// TestSound guards against sound answers that are rejected.
-func TestSound(t *testing.T) {
+// TestSoundHeads guards against sound answers that are rejected.
+func TestSoundHeads(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n",
 		"HTTP/1.1 200\r\n\r\n",
@@ -45,8 +45,8 @@
 	}
 }
 
-// TestMalformed guards against malformed heads that are parsed: the bytes before the fault must not contain the end of the head.
-func TestMalformed(t *testing.T) {
+// TestMalformedHeads guards against malformed heads that are parsed: the bytes before the fault must not contain the end of the head.
+func TestMalformedHeads(t *testing.T) {
 	for name, head := range ibistcp.MalformedHeads() {
 		text := "HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\n"
 		for size := 1; size <= len(text); size++ {
@@ -64,8 +64,8 @@
 	}
 }
 
-// FuzzChecker compares the checker with net/http: what both accept is sound, and the checker rejects nothing else that net/http accepts.
-func FuzzChecker(f *testing.F) {
+// FuzzHead compares the checker with net/http: what both accept is sound, and the checker rejects nothing else that net/http accepts.
+func FuzzHead(f *testing.F) {
 	f.Add("HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n")
 	for _, head := range ibistcp.MalformedHeads() {
 		f.Add(head + "\r\n")
--- a/internal/peer/ibishead/transport.go
+++ b/internal/peer/ibisresponse/transport.go
@@ -1,4 +1,4 @@
-package ibishead
+package ibisresponse
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"net/http/httptrace"
 )
 
-// Transport is an http.Transport that checks the heads of responses; a response with a fault fails with an error.
+// Transport is an http.Transport that checks responses; one with a fault fails.
 type Transport struct {
 	base *http.Transport
 }
--- a/internal/relay/ibislink/broken_test.go
+++ b/internal/relay/ibislink/broken_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisset"
-	"github.com/ibisridge/ibisridge/internal/peer/ibishead"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisresponse"
 	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
@@ -128,7 +128,7 @@
 		p := ibislink.New(ibislink.Options{Address: address, IDHeader: "Id", Refusals: ibisset.Of(503)})
 		DeferCleanup(p.Close)
 		_, err := p.Exchange(context.Background(), request("r1"))
-		Expect(err).To(MatchError(ibishead.ErrMalformed), name)
+		Expect(err).To(MatchError(ibisresponse.ErrMalformed), name)
 		Expect(err).NotTo(MatchError(ibislink.ErrNotSent), name)
 		response, err := p.Exchange(context.Background(), request("r2"))
 		Expect(err).NotTo(HaveOccurred(), name)
--- a/internal/relay/ibislink/conn.go
+++ b/internal/relay/ibislink/conn.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/ibisridge/ibisridge/internal/peer/ibishead"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisresponse"
 )
 
 const (
@@ -25,8 +25,8 @@
 // conn is a connection with its read buffer.
 type conn struct {
 	tcp *net.TCPConn
-	// checked reads from tcp and checks the heads of responses.
-	checked *ibishead.Conn
+	// checked is tcp with a check of the responses; requests are written and responses read through it.
+	checked *ibisresponse.Conn
 	// source limits what is read while a head is.
 	source    *io.LimitedReader
 	reader    *bufio.Reader
@@ -57,7 +57,7 @@
 }
 
 func newConn(tcp *net.TCPConn) *conn {
-	checked := ibishead.NewConn(tcp)
+	checked := ibisresponse.NewConn(tcp)
 	source := &io.LimitedReader{
 		R: checked,
 		N: math.MaxInt64,
@@ -71,7 +71,7 @@
 }
 
 // readHead reads the head of a response, at most limit bytes, and returns its size in bytes as well. It fails with
-// ErrLongHead if the head doesn't end within the limit, and with ibishead.ErrMalformed if no sound server sends it.
+// ErrLongHead if the head doesn't end within the limit, and with ibisresponse.ErrMalformed if no sound server sends it.
 func (c *conn) readHead(request *http.Request, limit int64) (*http.Response, int64, error) {
 	c.source.N = limit - int64(c.reader.Buffered())
 	readAhead, _ := c.reader.Peek(c.reader.Buffered())
--- a/internal/relay/ibislink/doc.go
+++ b/internal/relay/ibislink/doc.go
@@ -4,7 +4,4 @@
 // Where Options.IDHeader is set, a response must repeat the id of its request. A response with another id belongs to an
 // earlier exchange: it is discarded, and its connection is closed after the current exchange. A request that fails before any
 // byte was written fails with ErrNotSent; only such a request is certain not to have run.
-//
-// A socket reports a reset once, to a read or a write. A body that the end of the connection ends is therefore complete only if no
-// write has got such a report.
 package ibislink
--- a/internal/relay/ibislink/exchange.go
+++ b/internal/relay/ibislink/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,9 +47,8 @@
 		}
 	}
 	x := &exchange{
-		pool:   p,
-		conn:   c,
-		writer: newRequestWriter(c.tcp),
+		pool: p,
+		conn: c,
 	}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = c.tcp.Close() })
 	response, err := x.run(request)
@@ -57,7 +57,7 @@
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
-		if x.writer.written() == 0 {
+		if x.writtenBytes.Load() == 0 {
 			err = fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 		return nil, err
@@ -72,12 +72,23 @@
 	// keepOpen means that the end of the exchange leaves the connection as it is.
 	keepOpen          bool
 	stopCloseOnCancel func() bool
-	// writer writes the request to the connection.
-	writer      *requestWriter
-	writeDone   chan error
-	sawMismatch bool
-	endOnce     sync.Once
-	keepAlive   string
+	writtenBytes      atomic.Int64
+	writeDone         chan error
+	sawMismatch       bool
+	endOnce           sync.Once
+	keepAlive         string
+}
+
+// countedWriter counts the bytes that were written to the connection.
+type countedWriter struct {
+	writer  io.Writer
+	written *atomic.Int64
+}
+
+func (w countedWriter) Write(b []byte) (int, error) {
+	n, err := w.writer.Write(b)
+	w.written.Add(int64(n))
+	return n, err
 }
 
 func (x *exchange) run(request Request) (*Response, error) {
@@ -91,7 +102,7 @@
 		out.Header["User-Agent"] = []string{""}
 	}
 	// After a partial write the peer may still have responded, for example with a refusal.
-	if err := x.write(out); err != nil && x.writer.written() == 0 {
+	if err := x.write(out); err != nil && x.writtenBytes.Load() == 0 {
 		return nil, err
 	}
 	response, err := x.read(out, request.ID)
@@ -104,12 +115,11 @@
 		Header: response.Header,
 		Length: response.ContentLength,
 		Body: &body{
-			exchange:   x,
-			source:     response.Body,
-			reusable:   !response.Close && !x.sawMismatch,
-			length:     response.ContentLength,
-			untilClose: response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0,
-			deadline:   request.Deadline,
+			exchange: x,
+			source:   response.Body,
+			reusable: !response.Close && !x.sawMismatch,
+			length:   response.ContentLength,
+			deadline: request.Deadline,
 		},
 	}, nil
 }
@@ -118,7 +128,10 @@
 func (x *exchange) write(out *http.Request) error {
 	x.writeDone = make(chan error, 1)
 	send := func() error {
-		w := bufio.NewWriterSize(x.writer, bufferBytes)
+		w := bufio.NewWriterSize(countedWriter{
+			writer:  x.conn.checked,
+			written: &x.writtenBytes,
+		}, bufferBytes)
 		if err := out.Write(w); err != nil {
 			return err
 		}
@@ -203,10 +216,8 @@
 	source   io.ReadCloser
 	reusable bool
 	// length is in bytes, -1 if unknown.
-	length int64
-	// untilClose means that the end of the connection is that of the body.
-	untilClose bool
-	deadline   time.Time
+	length   int64
+	deadline time.Time
 	// err is the error that ended the body; the connection may belong to another exchange since then.
 	err error
 }
@@ -225,11 +236,6 @@
 	if err == nil {
 		return n, nil
 	}
-	if b.untilClose && errors.Is(err, io.EOF) {
-		if failure := b.exchange.writer.connectionFailure(); failure != nil {
-			err = fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, failure)
-		}
-	}
 	b.exchange.end(errors.Is(err, io.EOF) && b.reusable)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = fmt.Errorf("%w: %w", ErrLateBody, err)
--- a/internal/relay/ibislink/pool.go
+++ b/internal/relay/ibislink/pool.go
@@ -187,7 +187,6 @@
 	x := &exchange{
 		pool:     p,
 		conn:     c,
-		writer:   newRequestWriter(c.tcp),
 		keepOpen: true,
 	}
 	response, err := x.run(greeting.Request)
