ibisneighbor, ibisquotadriver: a malformed head counts as no answer between nodes

No caller saw this: neighbors, subscriptions, commits through other nodes and quota messages took an answer with a malformed head. A commit through such a node got the outcome "", which is none of the known ones. Cut messages were rejected already, since JSON and gob end themselves.

Change: these clients use the transport of ibisresponse as well. Then a neighbor is passed over, a node isn't verified, and a commit is unknown and goes to no further node.

Both new tests of ibisneighbor failed before and are ok now; quotas have no test of their own for it, their package is ok. The half answers in them were ok before.

--- a/internal/relay/ibisneighbor/fallback_test.go
+++ b/internal/relay/ibisneighbor/fallback_test.go
@@ -16,6 +16,7 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisneighbor"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
+	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
 
 var errBusy = errors.New("the store answers 429")
@@ -90,6 +91,24 @@
 		own.commits = nil
 	}
 
+	It("doesn't know of a commit through another node whose answer is broken, and sends it to no further node", func() {
+		refusePastDelay()
+		served := &fakeStore{}
+		broken := map[string]string{"half an answer": "HTTP/1.1 200 OK\r\n\r\n{\"outcome\":"}
+		for name, head := range ibistcp.MalformedHeads() {
+			broken[name] = head + "Content-Length: 2\r\n\r\n{}"
+		}
+		for name, answer := range broken {
+			server, err := ibistcp.Start(func(int, int, *http.Request) (string, bool) { return answer, true })
+			Expect(err).NotTo(HaveOccurred())
+			peers = []string{server.Address()}
+			startPeer(served)
+			Expect(fallbackStore.Commit(context.Background(), commit).Outcome).To(Equal(ibisstore.OutcomeUnknown), name)
+			Expect(served.commits).To(BeEmpty(), name)
+			server.Close()
+		}
+	})
+
 	It("commits through another node that the store serves", func() {
 		served := &fakeStore{
 			result: ibisstore.Result{
--- a/internal/relay/ibisneighbor/neighbor_test.go
+++ b/internal/relay/ibisneighbor/neighbor_test.go
@@ -18,6 +18,7 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisneighbor"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
+	"github.com/ibisridge/ibisridge/internal/standin/ibistcp"
 )
 
 func TestNeighbor(t *testing.T) {
@@ -106,6 +107,25 @@
 		Expect(changes.Rows).To(Equal([]ibisstore.Row{row("b", 12, false)}))
 	})
 
+	It("read from the store when the answer of the neighbor is broken", func() {
+		broken := map[string]string{"half an answer": "HTTP/1.1 200 OK\r\n\r\n{\"version\":13,"}
+		for name, head := range ibistcp.MalformedHeads() {
+			broken[name] = head + "Content-Length: 14\r\n\r\n{\"version\":13}"
+		}
+		for name, answer := range broken {
+			server, err := ibistcp.Start(func(int, int, *http.Request) (string, bool) { return answer, true })
+			Expect(err).NotTo(HaveOccurred())
+			n := newNode()
+			n.neighbor = server.Address()
+			changes, err := n.feed(10)
+			Expect(err).NotTo(HaveOccurred(), name)
+			Expect(changes.Version).To(BeEquivalentTo(100), name)
+			Expect(ibisneighbor.NewSubscriber(table, make(offers, 1), func() []string { return []string{n.neighbor} }, zap.NewNop()).
+				Verify(context.Background())).To(BeFalse(), name)
+			server.Close()
+		}
+	})
+
 	DescribeTable("read from the store when the neighbor",
 		func(disturb func(first *node)) {
 			first, second := newDirectNode(), newNode()
--- a/internal/relay/ibisneighbor/store.go
+++ b/internal/relay/ibisneighbor/store.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisresponse"
 	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
@@ -65,12 +66,12 @@
 // each node, for the idle time.
 func newClient(timeout, idle time.Duration) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: ibisresponse.NewTransport(&http.Transport{
 			DialContext:            ibislink.Dialer(dialTimeout).DialContext,
 			MaxIdleConnsPerHost:    1,
 			IdleConnTimeout:        idle,
 			MaxResponseHeaderBytes: ibislink.MaxHeadBytes,
-		},
+		}),
 		Timeout: timeout,
 	}
 }
--- a/internal/relay/ibisneighbor/subscriber.go
+++ b/internal/relay/ibisneighbor/subscriber.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisresponse"
 	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
@@ -74,11 +75,11 @@
 		peers:    peers,
 		log:      log,
 		client: &http.Client{
-			Transport: &http.Transport{
+			Transport: ibisresponse.NewTransport(&http.Transport{
 				DialContext:            ibislink.Dialer(subscribeDialTimeout).DialContext,
 				DisableKeepAlives:      true,
 				MaxResponseHeaderBytes: ibislink.MaxHeadBytes,
-			},
+			}),
 		},
 	}
 }
--- a/internal/relay/ibisquotadriver/wire.go
+++ b/internal/relay/ibisquotadriver/wire.go
@@ -15,6 +15,7 @@
 
 	"github.com/ibisridge/ibisridge/internal/base/ibisid"
 	"github.com/ibisridge/ibisridge/internal/peer/ibisbackend"
+	"github.com/ibisridge/ibisridge/internal/peer/ibisresponse"
 	"github.com/ibisridge/ibisridge/internal/relay/ibislink"
 	"github.com/ibisridge/ibisridge/internal/request/ibisquota"
 )
@@ -37,13 +38,13 @@
 
 func newClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: ibisresponse.NewTransport(&http.Transport{
 			DialContext:            ibislink.Dialer(exchangeTimeout).DialContext,
 			MaxIdleConnsPerHost:    maxIdleConnections,
 			IdleConnTimeout:        idleTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: ibislink.MaxHeadBytes,
-		},
+		}),
 		Timeout: exchangeTimeout,
 	}
 }
