ibisresponse: skip the values of fields

Values are not checked, so the rest of a line is skipped at once: 0.55 µs (one run of a benchmark each).

--- a/internal/peer/ibisresponse/head.go
+++ b/internal/peer/ibisresponse/head.go
@@ -1,6 +1,7 @@
 package ibisresponse
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net/http"
@@ -68,11 +69,17 @@
 	if c.err != nil {
 		return 0, c.err
 	}
-	for i, b := range p {
-		if c.state == stateEnd {
-			break
+	for i := 0; i < len(p) && c.state != stateEnd; i++ {
+		if c.state == stateRest {
+			end := bytes.IndexByte(p[i:], '\n')
+			if end < 0 {
+				break
+			}
+			c.state = stateLineStart
+			i += end
+			continue
 		}
-		if c.err = c.next(b); c.err != nil {
+		if c.err = c.next(p[i]); c.err != nil {
 			return i, c.err
 		}
 	}
@@ -85,10 +92,6 @@
 		return c.nextOfProtocol(b)
 	case stateStatus:
 		return c.nextOfStatus(b)
-	case stateRest:
-		if b == '\n' {
-			c.state = stateLineStart
-		}
 	case stateLineStart:
 		return c.nextOfLine(b)
 	case stateLineFeed:
@@ -100,7 +103,7 @@
 		return c.nextOfName(b)
 	case stateFold, stateFoldWord:
 		return c.nextOfFold(b)
-	case stateEnd:
+	case stateRest, stateEnd:
 	}
 	return nil
 }
