--- a/internal/standin/ibistcp/reply.go
+++ b/internal/standin/ibistcp/reply.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	// beforeReset is the time from the last byte of a reply to a reset. A reset at once would overtake the bytes at a busy reader.
+	// beforeReset is the time from the last byte of a reply to a reset, in which the reply is read and the upload goes on.
 	beforeReset = 20 * time.Millisecond
 	// halfTime is how long a server that reads nothing keeps the connection, longer than any test.
 	halfTime = time.Hour
