review: bursts of proper requests get a 431 in calm

Without any disruption, clients on kept connections send eight GET requests at once, each with a head of some 4,100 bytes, a quarter of maxHeaderBytes. The relay counts several heads as one and ends about half of the bursts with a 431; requests that it has passed on by then get no answer.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -36,6 +36,7 @@
 
 var cases = map[string]func(w *world) error{
 	"drill": drill,
+	"burst": burst,
 }
 
 func main() {
