review: clients that read steadily are reset in calm

Without any disruption, clients with eight requests under way on a kept connection read 1.4 MB a second without a pause. The relay takes them for stalled and resets them in the middle of an answer, from 15.5 s on; requests that backend servers have run get no answer.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -35,8 +35,9 @@
 }
 
 var cases = map[string]func(w *world) error{
-	"drill": drill,
-	"burst": burst,
+	"drill":       drill,
+	"slow-reader": slowReader,
+	"burst":       burst,
 }
 
 func main() {
