review: answers in the socket are lost when a node stops

One relay gets one SIGTERM. Clients with eight requests under way that read 1.4 MB a second lose answers that the relay has written whole: what the socket's buffer still holds is dropped when the relay closes the socket 500 ms after the last answer or exits, and a further request of the client meets a reset.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -37,6 +37,7 @@
 var cases = map[string]func(w *world) error{
 	"drill":       drill,
 	"slow-reader": slowReader,
+	"slow-stop":   slowStop,
 	"burst":       burst,
 }
 
