--- a/review/13/run.sh
+++ b/review/15/run.sh
@@ -5,4 +5,4 @@
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x target/ibisrelay ] && [ -x target/review-rig ] || { echo "build target/ibisrelay and run review/build-3.sh first"; exit 2; }
-exec target/review-rig -case slow-reader -relay target/ibisrelay -record review/13/record.txt -logs "${RIG_LOGS:-}" -trouble=$trouble
+exec target/review-rig -case slow-reader -relay target/ibisrelay -record review/15/record.txt -logs "${RIG_LOGS:-}" -trouble=$trouble
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -37,7 +37,6 @@
 var cases = map[string]func(w *world) error{
 	"drill":       drill,
 	"slow-reader": slowReader,
-	"slow-stop":   slowStop,
 	"burst":       burst,
 }
 
