review: a ping of another writer after a planned restart gives keys away

One of three relays restarts as planned. The first ping that its new process hears is one of another writer, without version and zone, that says draining. The keys of the healthy backend server beside it are granted to the two others while it holds them, and it gets none again.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -36,6 +36,7 @@
 
 var cases = map[string]func(w *world) error{
 	"drill":       drill,
+	"foreign":     foreign,
 	"slow-reader": slowReader,
 	"burst":       burst,
 }
