review: a planned restart after a drill deals held keys out anew

The store comes back from a copy of before the keys were first divided. A relay that restarts as planned divides them anew 3.6 s after its start, while its backend server holds them by the grants from before the restart. No kill is needed.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -37,6 +37,7 @@
 var cases = map[string]func(w *world) error{
 	"drill":       drill,
 	"foreign":     foreign,
+	"division":    division,
 	"slow-reader": slowReader,
 	"burst":       burst,
 }
