review: the rig's files are test files

TestPlatformWords failed, since the platform's names of headers and paths may stand only in platform/, the stand-ins and test files. What the rig does is the same.

--- a/review/_rig/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Command rig plays the cases of review/11 to review/15 that are scripts: it starts relays as processes, with stand-ins for the
-// platform, for backend servers and for clients, and judges what these have seen.
-package main
--- a/review/_rig/relay.go
+++ b/review/_rig/relay_test.go
@@ -1,4 +1,4 @@
-package main
+package rig
 
 import (
 	"encoding/json"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds what the scripts of review/11 to review/15 start beside the relay: the rig, which holds all stand-ins.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -trimpath -o target/review-rig ./review/_rig
+go test -c -trimpath -o target/review-rig ./review/_rig
