ibisrange: a page of an era waits for grants that can't be named

Cause: until the first page of an era stands, lease rows name what backend servers may hold. A run of a node that has just begun knows none of the grants of the run before, and its row replaced the one that named them, so the page of the era gave their keys to the owners of the copy. Where the copy had no page at all, a node that knew none divided the keys as if the service were new, without the wait for leases from before the era.

Change: a lease row says while there may be grants that it can't name, and no first page of an era is written while a valid lease says so. A missing page means "never divided" only in the store's first era; later ones divide by the commit that writes any first page of an era.

Ruled out: the reports of held keys (none by call, possibly older than the grant by heartbeat), and names kept from the row of the earlier run (it may be of the copy).

--- a/internal/relay/ibisrange/era.go
+++ b/internal/relay/ibisrange/era.go
@@ -10,6 +10,10 @@
 	"github.com/ibisridge/ibisridge/internal/relay/ibisstore"
 )
 
+// firstEra is the era of a store that has never come back from an older copy of its data. Only there does a missing page mean
+// that the keys have never been divided.
+const firstEra = 0
+
 // tokenEraShift is the number of low bits of a token that count within an era.
 const tokenEraShift = 32
 
@@ -78,9 +82,15 @@
 	}
 }
 
-// keepLostPage keeps the known page as the survivor if a read shows that the store has lost the row.
+// needsSurvivor reports whether the page that the era began with must still be read.
+func (m *Manager) needsSurvivor() bool {
+	return m.era > firstEra && !m.pageStands() && m.survivor == nil
+}
+
+// keepLostPage keeps the known page as the survivor if a read shows that the store has lost the row. At a node that knows no page the
+// survivor has no ranges.
 func (m *Manager) keepLostPage(snapshot ibisstore.Snapshot) {
-	if !m.pageKnown || m.pageStands() || m.survivor != nil || ibisstore.EraOf(snapshot.Version) != m.era {
+	if !m.needsSurvivor() || ibisstore.EraOf(snapshot.Version) != m.era {
 		return
 	}
 	if !slices.ContainsFunc(snapshot.Rows, func(row ibisstore.Row) bool { return row.Key.Name == PageName }) {
@@ -90,13 +100,12 @@
 	}
 }
 
-// heldSpans returns the run of the own backend server and what it may hold, nil if it holds nothing. Grants that an earlier
-// run of the node may have given are left out: they end with its lease, before a page of the era is written.
+// heldSpans returns the run of the own backend server and what it may hold by grants that can be named, nil if that is nothing.
 func (m *Manager) heldSpans(now time.Time) (*ibisroster.ServerIncarnation, [][3]uint64) {
 	s := &m.server
 	var spans [][3]uint64
 	for _, g := range s.grants {
-		if g.token > 0 && now.Before(g.until) && !g.grantedAt.Before(m.lease.validSince) {
+		if m.canName(g) && now.Before(g.until) {
 			spans = append(spans, [3]uint64{uint64(g.From), uint64(g.To), uint64(g.token)})
 		}
 	}
@@ -107,18 +116,21 @@
 	return &incarnation, spans
 }
 
-// heldElsewhere reports whether a lease says that a backend server holds keys.
-func (m *Manager) heldElsewhere() bool {
-	for _, p := range m.peers {
-		if p.row.Holder != nil {
-			return true
-		}
-	}
-	return false
+// holdsUnnamed reports whether the own backend server may hold keys that heldSpans leaves out, as an earlier run of the node
+// granted them.
+func (m *Manager) holdsUnnamed(now time.Time) bool {
+	return !m.server.ended && slices.ContainsFunc(m.server.grants, func(g grantedSpan) bool {
+		return !m.canName(g) && now.Before(g.until)
+	})
+}
+
+// canName reports whether a grant's span and token are certain: this run gave it, and the lease hasn't lapsed since.
+func (m *Manager) canName(g grantedSpan) bool {
+	return g.token > 0 && !g.grantedAt.Before(m.lease.validSince)
 }
 
 // planEraPage returns the first page of the era, and whether it can be written. Every lease from before the era must have
-// ended, and every node whose lease is valid must have said what its backend server may hold.
+// ended, and every node whose lease is valid must have named all that its backend server may hold.
 func (m *Manager) planEraPage() (Page, bool) {
 	if m.survivor == nil || m.eraSince == 0 || m.leasesSeenAt < m.eraSince+m.config.LeaseTerm+takeoverSlack || m.lease.toldEra != m.era {
 		return Page{}, false
@@ -128,12 +140,20 @@
 		if p.version == 0 || m.lapsed(p) {
 			continue
 		}
-		if p.row.Era != m.era {
+		if p.row.Era != m.era || p.row.Unnamed {
 			return Page{}, false
 		}
 		holders = append(holders, p.row.holders(node)...)
 	}
-	return mergeHolders(m.survivor.page, holders, m.era), true
+	page := m.survivor.page
+	if len(page.Ranges) == 0 {
+		owners := m.candidates()
+		if len(owners) == 0 {
+			return Page{}, false
+		}
+		page = divideKeys(owners, m.era)
+	}
+	return mergeHolders(page, holders, m.era), true
 }
 
 // proposeEraPage requests a commit of the first page of the era in place of the survivor.
--- a/internal/relay/ibisrange/lease.go
+++ b/internal/relay/ibisrange/lease.go
@@ -65,6 +65,8 @@
 	Holder *ibisroster.ServerIncarnation `json:"holder,omitempty"`
 	// Holds lists rows of first key, last key and token.
 	Holds [][3]uint64 `json:"holds,omitempty"`
+	// Unnamed means that the backend server may hold more than Holds lists, by grants of an earlier run of the node.
+	Unnamed bool `json:"unnamed,omitempty"`
 }
 
 func (r leaseRow) encode() []byte {
@@ -141,6 +143,7 @@
 	}
 	if !m.pageStands() {
 		row.Holder, row.Holds = m.heldSpans(now)
+		row.Unnamed = m.holdsUnnamed(now)
 	}
 	if m.clock.reading > 0 {
 		row.UntilMs = m.clock.latest(now.Add(m.config.LeaseTerm)).Milliseconds()
--- a/internal/relay/ibisrange/manager.go
+++ b/internal/relay/ibisrange/manager.go
@@ -83,7 +83,8 @@
 	era uint64
 	// eraSince is the first reading of the store's clock in the era, zero if there is none yet.
 	eraSince time.Duration
-	// survivor is the page that the store had when the era began, nil if it has not been read or a page of the era stands.
+	// survivor is the page that the store had when the era began, nil if it has not been read or a page of the era stands. It has no
+	// ranges if the store has lost the page and the node knows none.
 	survivor *survivingPage
 	// pageStale means that other nodes may have changed the page since it was read, so that nothing is granted or proposed.
 	pageStale        bool
@@ -281,6 +282,9 @@
 			m.applyPage(row)
 		}
 		m.keepLostPage(*e.Pages)
+		if m.needsSurvivor() {
+			m.readRetryAt = now.Add(retryDelay)
+		}
 		// A read that was sent before the lease became valid may miss a takeover of the node's ranges.
 		m.pageStale = m.pageStale && e.RequestedAt.Before(m.lease.validSince)
 	}
@@ -319,7 +323,7 @@
 	if m.readPending || now.Before(m.readRetryAt) || !m.leaseValid(now) {
 		return
 	}
-	pages := m.pageStale || m.refreshRequested || m.pageKnown && !m.pageStands() && m.survivor == nil
+	pages := m.pageStale || m.refreshRequested || m.needsSurvivor()
 	leases := now.Sub(m.leasesReadAt) >= m.leaseReadInterval() || m.expectsLapse(now)
 	if !pages && !leases {
 		return
--- a/internal/relay/ibisrange/manager_test.go
+++ b/internal/relay/ibisrange/manager_test.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// giveEachNodeADomain places every node into a failure domain of its own.
+func (sim *simulation) giveEachNodeADomain() {
+	for _, n := range sim.nodes {
+		n.domain = ibisid.DomainName("d-" + n.name)
+	}
+}
+
 // withUnserved returns the violations, with one more if a key is not served.
 func (sim *simulation) withUnserved() []string {
 	if served := sim.servedKeys(); served != ibisrange.Keys {
@@ -124,9 +131,7 @@
 		expectNoViolations(6000, 60, func(seed uint64) []string {
 			sim := newSimulation(seed, 3, delivery)
 			sim.latestHeartbeat = 5 * time.Second
-			for _, n := range sim.nodes {
-				n.domain = ibisid.DomainName("d-" + n.name)
-			}
+			sim.giveEachNodeADomain()
 			sim.run(time.Duration(1+seed%8) * time.Second)
 			for range 4 {
 				sim.restartAmidLateMessages(sim.nodes[sim.random.IntN(len(sim.nodes))])
@@ -137,6 +142,18 @@
 		})
 	})
 
+	// Each run restarts nodes after the store has come back from an older copy and before the first page of the era is written.
+	It("never let two backend servers hold one key although nodes restart while an era has no page", func() {
+		expectNoViolations(8000, 300, func(seed uint64) []string {
+			sim := newSimulation(seed, 3, delivery)
+			sim.giveEachNodeADomain()
+			sim.run(6*time.Second + time.Duration(seed%8)*time.Second)
+			sim.restartsAroundRewinds()
+			sim.run(40 * time.Second)
+			return sim.withUnserved()
+		})
+	})
+
 	It("serve every key again once the faults have ended", func() {
 		expectNoViolations(1000, 60, func(seed uint64) []string {
 			sim := newSimulation(seed, 4, delivery)
--- a/internal/relay/ibisrange/plan.go
+++ b/internal/relay/ibisrange/plan.go
@@ -151,7 +151,7 @@
 // coordinate divides the keys, takes over ranges of lapsed owners and rebalances. Every node may do so, as the conditions of
 // its commit prevent conflicting changes; nodes of a lower rank wait, so that usually only one tries.
 func (m *Manager) coordinate(now time.Time) {
-	if !m.pageKnown {
+	if !m.pageKnown && m.era == firstEra {
 		if m.readyToDivide(now) && m.rankDelayPassed(now) {
 			m.proposeFirstPage()
 		}
@@ -206,7 +206,7 @@
 		m.leasesReadAt = time.Time{}
 		return false
 	}
-	return !m.heldElsewhere()
+	return true
 }
 
 // rank returns the number of alive nodes that rank before this one for coordination.
--- a/internal/relay/ibisrange/simulation_restart_test.go
+++ b/internal/relay/ibisrange/simulation_restart_test.go
@@ -15,14 +15,7 @@
 	excludeAt := moment(4 * time.Second)
 	sim.after(excludeAt, func() { sim.exclude(n.domain, true) })
 	sim.after(excludeAt+500*time.Millisecond+moment(3*time.Second), func() { sim.exclude(n.domain, false) })
-	sim.after(moment(5*time.Second), func() {
-		n.running = false
-		sim.after(300*time.Millisecond+moment(700*time.Millisecond), func() {
-			if !n.running {
-				sim.startNode(n)
-			}
-		})
-	})
+	sim.after(moment(5*time.Second), func() { sim.restart(n, 300*time.Millisecond+moment(700*time.Millisecond)) })
 	sim.after(5*time.Second, func() { sim.lateHeartbeatShare, sim.lostAnswerShare = 0.03, 0 })
 }
 
@@ -37,3 +30,42 @@
 		sim.update(n, ibisrange.PolicyEvent{Sharded: true, OutDomains: sim.excludedDomains})
 	}
 }
+
+// restartsAroundRewinds makes the store come back from older copies once or twice, the second time while the first era may have no
+// page yet. Nodes are restarted or killed in the wait for the page, and moves are under way.
+func (sim *simulation) restartsAroundRewinds() {
+	moment := func(most time.Duration) time.Duration { return time.Duration(sim.random.Int64N(int64(most))) }
+	moved := sim.nodes[sim.random.IntN(len(sim.nodes))]
+	sim.exclude(moved.domain, true)
+	sim.run(500*time.Millisecond + moment(4*time.Second))
+	for range 1 + sim.random.IntN(2) {
+		age := moment(6 * time.Second)
+		if sim.random.Float64() < 0.3 {
+			age = time.Hour // before the first page
+		}
+		sim.rewind(age)
+		for _, n := range sim.nodes {
+			if sim.random.Float64() < 0.5 {
+				continue
+			}
+			down := 200*time.Millisecond + moment(time.Second)
+			if sim.random.Float64() < 0.3 {
+				down += moment(leaseTerm + 3*time.Second)
+			}
+			sim.after(moment(leaseTerm+3*time.Second), func() { sim.restart(n, down) })
+		}
+		sim.run(moment(leaseTerm + 5*time.Second))
+		sim.exclude(moved.domain, false)
+	}
+	sim.run(20 * time.Second)
+}
+
+// restart kills a node and starts it again after the given time; its backend server goes on.
+func (sim *simulation) restart(n *node, down time.Duration) {
+	n.running = false
+	sim.after(down, func() {
+		if !n.running {
+			sim.startNode(n)
+		}
+	})
+}
