ibisconnections: each head is measured by itself

Cause: a connection counted all that it read as one head until a handler began. Where requests overlap, the socket is read on before that, so the heads of several requests, or a head and a body, counted as one. Beyond the limit and 8 KiB a 431 was written to the socket directly, past the answers that the pipeline owed; for want of memory a 503 in the same way.

Callers that send requests ahead got a 431 in place of their first answer, and none to reads that had been passed on.

Ruled out: a single head over the limit; one request at a time is answered.

Change: the end of a head is found as it is read, and what follows counts neither for its limit nor for its memory. The pipeline tells what it has read of a head whose rest it waits for. A status is written only in a read of a head with no answer due, once and without waiting: the 1 ms that it had made a test flaky.

--- a/internal/relay/ibisconnections/conn.go
+++ b/internal/relay/ibisconnections/conn.go
@@ -27,6 +27,8 @@
 	phaseIdle phase = iota
 	// phaseHeader means that it waits for the remaining headers of a request.
 	phaseHeader
+	// phaseReceived means that the headers are complete, and the request has not begun.
+	phaseReceived
 	// phaseServing means that it runs a request, which has no time limit here.
 	phaseServing
 	// phaseClosed means that it was closed because of a limit or because it was idle.
@@ -49,8 +51,11 @@
 	since time.Time
 	// used means that a request has been served.
 	used bool
-	// head counts the head that is being read; lastRead is what the last read added, of which the next head may be a part.
-	head, lastRead ibismemory.HeadCount
+	// head measures the head that is being read, and readHead means that the last read was of it.
+	head     headScan
+	readHead bool
+	// lastRead is what the last read added, of which the next head may be a part.
+	lastRead ibismemory.HeadCount
 	// received and written are the bytes of the request that is being served, after its head, and of its answer.
 	received, written int64
 	// receiving and sending are since when the handler waits for the body, and since when it writes; zero if it does not.
@@ -159,9 +164,15 @@
 	if !bytes.HasSuffix(text, headEnd) {
 		c.lastRead.Add(text)
 	}
-	if c.phase == phaseHeader {
-		c.head.Add(text)
-		return
+	c.readHead = c.phase == phaseHeader
+	if c.readHead {
+		text = text[c.head.add(text):]
+		if c.head.ended {
+			c.phase = phaseReceived
+		}
+		if len(text) == 0 {
+			return
+		}
 	}
 	c.received += int64(len(text))
 	c.receiving = time.Time{}
@@ -218,20 +229,26 @@
 		c.phase = phaseIdle
 		c.since = now
 		c.used = true
-		c.head = ibismemory.HeadCount{}
+		c.head = headScan{}
 		if c.lastRead.Bytes <= readAheadBytes {
 			// What was read beyond the last request is not read again.
-			c.head = c.lastRead
+			c.head.count = c.lastRead
 		}
 	}
 }
 
-func (c *conn) awaitHeader(now time.Time) {
+func (c *conn) awaitHeader(begin []byte, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseClosed {
-		c.phase = phaseHeader
-		c.since = now
+	if c.phase == phaseClosed || c.phase == phaseHeader {
+		return
+	}
+	c.phase = phaseHeader
+	c.since = now
+	c.head = headScan{}
+	c.head.add(begin)
+	if c.head.ended {
+		c.phase = phaseReceived
 	}
 }
 
@@ -242,7 +259,7 @@
 		return false
 	}
 	c.phase = phaseServing
-	c.head = ibismemory.HeadCount{}
+	c.head = headScan{}
 	c.received, c.written, c.receiving = 0, 0, time.Time{}
 	return true
 }
@@ -261,7 +278,7 @@
 			return limits.Idle > 0 && waited > limits.Idle && !c.hasUnreadBytes()
 		case phaseHeader:
 			return limits.Header > 0 && waited > limits.Header
-		case phaseServing, phaseClosed:
+		case phaseReceived, phaseServing, phaseClosed:
 		}
 		return false
 	})
--- a/internal/relay/ibisconnections/connections.go
+++ b/internal/relay/ibisconnections/connections.go
@@ -106,10 +106,11 @@
 	}
 }
 
-// AwaitHeader records that a connection, whose last request has been answered, waits for the rest of a head.
-func (c *Connections) AwaitHeader(nc net.Conn) {
+// AwaitHeader records that a connection, whose last request has been answered, waits for the rest of a head, of which the begin has been
+// read.
+func (c *Connections) AwaitHeader(nc net.Conn, begin []byte) {
 	if tracked, ok := nc.(*conn); ok {
-		tracked.awaitHeader(c.clock.Now())
+		tracked.awaitHeader(begin, c.clock.Now())
 	}
 }
 
--- a/internal/relay/ibisconnections/memory.go
+++ b/internal/relay/ibisconnections/memory.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -307,7 +308,7 @@
 	case c.phase == phaseIdle:
 		return ibismemory.StateUnused, c.since, 0
 	case c.phase == phaseHeader:
-		return ibismemory.StateReceiving, c.since, int64(c.head.Bytes)
+		return ibismemory.StateReceiving, c.since, int64(c.head.count.Bytes)
 	case c.phase == phaseServing && !c.sending.IsZero():
 		return ibismemory.StateSending, c.sending, 0
 	case c.phase == phaseServing && !c.receiving.IsZero():
@@ -338,16 +339,17 @@
 	})
 }
 
-// payForHead holds what the head that is being read will take, and fails if that does not fit or the head is too long.
+// payForHead holds what the head that was read from will take, and fails if that does not fit or the head is too long. No answer is due
+// on the connection then: further heads are read as a part of the request that runs.
 func (c *conn) payForHead() error {
 	connections := c.connections
 	if connections.memory == nil {
 		return nil
 	}
 	c.mu.Lock()
-	head, inHead := c.head, c.phase == phaseHeader
+	head, readHead := c.head.count, c.readHead
 	c.mu.Unlock()
-	if !inHead {
+	if !readHead {
 		return nil
 	}
 	if connections.headLimit != nil {
@@ -372,9 +374,12 @@
 // refuseHead answers a request whose head is not read on.
 func (c *conn) refuseHead(refusal Refusal, status, fields string) {
 	c.connections.reportRefusal(c.account.part, refusal, 1)
-	// The write must not wait for a client that does not read.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Millisecond))
-	_, _ = c.Conn.Write([]byte("HTTP/1.1 " + status + "\r\n" + fields + "Connection: close\r\nContent-Length: 0\r\n\r\n"))
+	text := []byte("HTTP/1.1 " + status + "\r\n" + fields + "Connection: close\r\nContent-Length: 0\r\n\r\n")
+	// The write does not wait for a client that does not read.
+	_ = c.raw.Write(func(fd uintptr) bool {
+		_, _ = syscall.Write(int(fd), text)
+		return true
+	})
 	_ = c.CloseWrite()
 }
 
--- a/internal/relay/ibisconnections/memory_test.go
+++ b/internal/relay/ibisconnections/memory_test.go
@@ -113,6 +113,34 @@
 		expectRefusal(ibisconnections.RefusalMemory)
 	})
 
+	// Guards against a status that ends a connection on which answers are due (review/14): the heads of requests that are sent ahead, and
+	// bodies, are read before the first handler begins.
+	DescribeTable("measures each head by itself, however it is read",
+		func(text string, accepted bool) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(listener.Close)
+			for _, size := range []int{1, 7, 4096} {
+				client, err := net.Dial("tcp4", listener.Addr().String())
+				Expect(err).NotTo(HaveOccurred())
+				conn, err := conns.Listener(listener).Accept()
+				Expect(err).NotTo(HaveOccurred())
+				go func() { _, _ = fmt.Fprint(client, text) }()
+				for left := len(text); left > 0 && err == nil; {
+					var n int
+					n, err = conn.Read(make([]byte, size))
+					left -= n
+				}
+				Expect(err == nil).To(Equal(accepted), "%d bytes at once", size)
+				_, _ = client.Close(), conn.Close()
+			}
+		},
+		Entry("many heads", strings.Repeat("GET / HTTP/1.1\r\nx: "+strings.Repeat("x", 1900)+"\r\n\r\n", 20), true),
+		Entry("a head that ends without carriage returns, and a body", "\r\nPOST / HTTP/1.1\nContent-Length: 30000\n\n"+strings.Repeat("x", 30_000), true),
+		Entry("a head of many fields", "GET / HTTP/1.1\r\n"+strings.Repeat("x: x\r\n", 2000), false),
+		Entry("a long line behind empty ones", "\r\n\n"+strings.Repeat("x", 12_000), false),
+	)
+
 	// Guards against bytes that stay counted, or are given back twice, when a connection is closed in the middle of a request.
 	It("gives back what a request held at its end, and what it holds when its connection is closed", func() {
 		var release func()
--- a/internal/relay/ibispipeline/answer.go
+++ b/internal/relay/ibispipeline/answer.go
@@ -39,7 +39,7 @@
 		if len(s.held) == 0 {
 			s.setIdle()
 		} else {
-			s.pipeline.options.Tracker.AwaitHeader(s.inner)
+			s.pipeline.options.Tracker.AwaitHeader(s.inner, s.held)
 		}
 		return
 	}
--- a/internal/relay/ibispipeline/dispatch.go
+++ b/internal/relay/ibispipeline/dispatch.go
@@ -20,6 +20,9 @@
 			}
 			// http.Server answers a head that is too long or ends midway.
 			h.kind = kindOpaque
+			if running == 0 && s.primary.free {
+				s.pipeline.options.Tracker.AwaitHeader(s.inner, s.held)
+			}
 		} else if s.readErr != nil {
 			return
 		}
--- a/internal/relay/ibispipeline/end.go
+++ b/internal/relay/ibispipeline/end.go
@@ -14,7 +14,7 @@
 	case s.readErr != nil || s.draining:
 		s.end()
 	case len(s.held) > 0:
-		s.pipeline.options.Tracker.AwaitHeader(s.inner)
+		s.pipeline.options.Tracker.AwaitHeader(s.inner, s.held)
 		s.setHeadDeadline(true)
 	default:
 		s.setIdle()
--- a/internal/relay/ibispipeline/pipeline.go
+++ b/internal/relay/ibispipeline/pipeline.go
@@ -28,8 +28,8 @@
 type Tracker interface {
 	// SetState records a connection's new state, as http.Server.ConnState reports it.
 	SetState(conn net.Conn, state http.ConnState)
-	// AwaitHeader records that a connection waits for the rest of a head.
-	AwaitHeader(conn net.Conn)
+	// AwaitHeader records that a connection waits for the rest of a head, of which the begin has been read.
+	AwaitHeader(conn net.Conn, begin []byte)
 	// OnPeerClosed calls the function once when the peer has closed the connection, until the returned function is called.
 	OnPeerClosed(conn net.Conn, closed func()) (stop func())
 }
--- a/internal/relay/ibispipeline/pipeline_test.go
+++ b/internal/relay/ibispipeline/pipeline_test.go
@@ -19,6 +19,7 @@
 	"github.com/ibisridge/ibisridge/internal/base/ibistimer"
 	"github.com/ibisridge/ibisridge/internal/relay/ibisconnections"
 	"github.com/ibisridge/ibisridge/internal/relay/ibispipeline"
+	"github.com/ibisridge/ibisridge/internal/request/ibismemory"
 )
 
 func TestPipeline(t *testing.T) {
@@ -81,7 +82,7 @@
 }
 
 // serve starts a server whose connections run as many requests at once; with one there is no pipeline.
-func serve(handler http.Handler, requests, answerBytes int, budgetBytes int64) *served {
+func serve(handler http.Handler, requests, answerBytes int, budgetBytes int64, tracking ...ibisconnections.Option) *served {
 	// Ports of 127.0.0.1 may still be called by clients of tests that run beside this one.
 	listening, err := net.Listen("tcp4", "127.19.0.1:0")
 	if err != nil {
@@ -89,7 +90,7 @@
 	}
 	s := &served{
 		address:     listening.Addr().String(),
-		connections: ibisconnections.New(ibistimer.New()),
+		connections: ibisconnections.New(ibistimer.New(), tracking...),
 		budget:      &budget{limit: budgetBytes},
 	}
 	server := &http.Server{
@@ -190,6 +191,48 @@
 	Expect(running.most).To(BeEquivalentTo(4), "none of the others is begun")
 })
 
+// Guards against a status that is written past answers that are due (review/14).
+var _ = DescribeTable("A head that is too long gets its status behind the answers that are due, after",
+	func(before int, length int, split bool) {
+		limits := ibismemory.Limits{Total: ibismemory.Amount{Connections: 10, Bytes: 1 << 20}, ConnectionBytes: 1000}
+		limits.Reserve(ibismemory.PartCallers, ibismemory.Amount{}, limits.Total)
+		memory := ibisconnections.NewMemory(limits)
+		var server *served
+		server = serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(20 * time.Millisecond)
+			server.connections.BeginRequest(connOf(r).NetConn())
+			_ = connOf(r).Admit(true)
+			_, _ = io.WriteString(w, r.URL.Path)
+		}), 8, 1<<20, -1,
+			ibisconnections.WithMemory(memory, func(net.Addr) ibismemory.Part { return ibismemory.PartCallers }),
+			ibisconnections.WithHeadLimit(func() int { return 4000 }))
+		DeferCleanup(server.close)
+		conn := server.dial()
+		DeferCleanup(conn.Close)
+		padding := "x: " + strings.Repeat("x", 3900)
+		text := strings.Repeat(get("/look/1", padding), before) + get("/look/long", "x: "+strings.Repeat("x", length))
+		go func() {
+			if split {
+				_, _ = io.WriteString(conn, text[:len(text)-length])
+				time.Sleep(100 * time.Millisecond)
+				text = text[len(text)-length:]
+			}
+			_, _ = io.WriteString(conn, text)
+		}()
+		reader := bufio.NewReader(conn)
+		got, _ := paths(reader, before)
+		Expect(got).To(HaveLen(before))
+		response, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+	},
+	Entry("none", 0, 60_000, false),
+	Entry("one", 1, 60_000, false),
+	Entry("one that has been answered", 1, 60_000, true),
+	Entry("more than run at once", 12, 60_000, false),
+	Entry("some that have been answered", 5, 60_000, true),
+)
+
 var _ = Describe("Eight reads on one connection", func() {
 	const reads = 8
 
