ibisconnections: progress is never set back by a request

Cause: progress was what had been written, less what the socket held. Each request that began set the written bytes to zero while the mark to compare with stayed, so where requests overlap, a client that reads steadily seemed to stand still. Uploads were counted in the same way. Two more ways were found: bytes counted only once a whole write had ended, and a connection that is read ahead counted as one whose client owes a body.

Callers with reads under way on one connection were reset in the middle of answers, and up to eight reads that had been run got none.

Change: what a client has taken is what its side has acknowledged (TCP_INFO); bytes of bodies are counted over the whole connection. The pipeline tells when a handler waits for a body.

--- a/internal/relay/ibisconnections/conn.go
+++ b/internal/relay/ibisconnections/conn.go
@@ -56,10 +56,13 @@
 	readHead bool
 	// lastRead is what the last read added, of which the next head may be a part.
 	lastRead ibismemory.HeadCount
-	// received and written are the bytes of the request that is being served, after its head, and of its answer.
-	received, written int64
-	// receiving and sending are since when the handler waits for the body, and since when it writes; zero if it does not.
+	// received counts the bytes of bodies, and written those of answers; receivedBefore is what had been received when the running
+	// request began.
+	received, written, receivedBefore int64
+	// receiving and sending are since when a handler waits for the body, and since when it writes; zero if it does not.
 	receiving, sending time.Time
+	// readsAhead means that a read may wait for a further request, so that AwaitBody tells when a handler waits for the body.
+	readsAhead bool
 	// span is what the connection has transferred when its progress was last enough.
 	span span
 }
@@ -122,6 +125,19 @@
 	return n, err
 }
 
+// AwaitBody records whether a handler waits for the body of its request, for a connection that is read ahead.
+func (c *conn) AwaitBody(waits bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsAhead = true
+	switch {
+	case !waits:
+		c.receiving = time.Time{}
+	case c.receiving.IsZero():
+		c.receiving = c.connections.clock.Now()
+	}
+}
+
 // readSocket reads what the socket has received, without waiting, while no one can close the connection for idleness.
 func (c *conn) readSocket(fd int, p []byte) (int, error) {
 	c.mu.Lock()
@@ -135,7 +151,7 @@
 	}
 	if err != nil {
 		// http.Server reads a single byte ahead while a handler runs, to notice the end of the connection.
-		if c.phase == phaseServing && len(p) > 1 && c.receiving.IsZero() {
+		if c.phase == phaseServing && len(p) > 1 && !c.readsAhead && c.receiving.IsZero() {
 			c.receiving = c.connections.clock.Now()
 		}
 		return 0, err
@@ -260,7 +276,7 @@
 	}
 	c.phase = phaseServing
 	c.head = headScan{}
-	c.received, c.written, c.receiving = 0, 0, time.Time{}
+	c.receivedBefore, c.receiving = c.received, time.Time{}
 	return true
 }
 
--- a/internal/relay/ibisconnections/memory.go
+++ b/internal/relay/ibisconnections/memory.go
@@ -312,7 +312,7 @@
 	case c.phase == phaseServing && !c.sending.IsZero():
 		return ibismemory.StateSending, c.sending, 0
 	case c.phase == phaseServing && !c.receiving.IsZero():
-		return ibismemory.StateReceiving, c.since, c.received
+		return ibismemory.StateReceiving, c.since, c.received - c.receivedBefore
 	}
 	return ibismemory.StateRunning, c.since, 0
 }
@@ -408,7 +408,7 @@
 		}
 		moved := c.received
 		if state == ibismemory.StateSending {
-			moved = -c.unsentBytes()
+			moved = c.takenBytes()
 		}
 		if c.span.since.IsZero() || c.span.state != state || moved-c.span.moved >= least.Bytes {
 			c.span = span{
@@ -422,12 +422,15 @@
 	})
 }
 
-// unsentBytes returns how much of what was written the client has not acknowledged, less what was written: it falls as the
-// client reads, whatever is written meanwhile.
-func (c *conn) unsentBytes() int64 {
-	queued := 0
+// takenBytes returns how much of what was written the client has acknowledged, which rises as the client reads, also within one write.
+func (c *conn) takenBytes() int64 {
+	taken := c.written
 	if c.raw != nil {
-		_ = c.raw.Control(func(fd uintptr) { queued, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+		_ = c.raw.Control(func(fd uintptr) {
+			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+				taken = int64(info.Bytes_acked)
+			}
+		})
 	}
-	return int64(queued) - c.written
+	return taken
 }
--- a/internal/relay/ibisconnections/memory_test.go
+++ b/internal/relay/ibisconnections/memory_test.go
@@ -169,7 +169,9 @@
 	// Guards against a client that sends or reads so little that it keeps its part for ever, and against cutting off one that goes on.
 	It("closes a connection whose body makes too little progress, and none that makes enough", func() {
 		least := ibisconnections.Progress{Bytes: 100, Span: 10 * time.Second}
-		handle = func(_ http.ResponseWriter, r *http.Request, _ net.Conn) {
+		var last net.Conn
+		handle = func(_ http.ResponseWriter, r *http.Request, conn net.Conn) {
+			last = conn
 			begun <- struct{}{}
 			_, _ = io.Copy(io.Discard, r.Body)
 		}
@@ -185,6 +187,9 @@
 			_, _ = fmt.Fprint(steady, strings.Repeat("x", 200))
 			awaitDelivery(steady)
 			time.Sleep(50 * time.Millisecond)
+			Expect(conns.BeginRequest(last)).To(BeTrue(), "a further request of the steady one begins")
+			_, _ = fmt.Fprint(steady, "x")
+			time.Sleep(10 * time.Millisecond)
 			if conns.CloseStalled(least) == 1 {
 				break
 			}
@@ -194,4 +199,43 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(status(steady)).To(Equal(http.StatusOK))
 	})
+
+	// Guards against a client that reads steadily and is cut off as its requests overlap (review/15).
+	DescribeTable("closes a connection whose client takes too little of answers that overlap, and none that takes enough, written",
+		func(pieceBytes int) {
+			least := ibisconnections.Progress{Bytes: 100, Span: 10 * time.Second}
+			served := make(chan net.Conn, 1)
+			handle = func(w http.ResponseWriter, _ *http.Request, conn net.Conn) {
+				served <- conn
+				for piece := make([]byte, pieceBytes); ; {
+					if _, err := w.Write(piece); err != nil {
+						return
+					}
+				}
+			}
+			client := dial("")
+			Expect(client.(*net.TCPConn).SetReadBuffer(64 << 10)).To(Succeed())
+			_, _ = fmt.Fprint(client, get)
+			conn := <-served
+			step := func() int {
+				time.Sleep(20 * time.Millisecond)
+				clock.Advance(4 * time.Second)
+				Expect(conns.BeginRequest(conn)).To(BeTrue(), "a further request of the connection begins")
+				return conns.CloseStalled(least)
+			}
+			for range 10 {
+				_, err := io.ReadFull(client, make([]byte, 512<<10))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(step()).To(BeZero())
+			}
+			closed := 0
+			for i := 0; i < 10 && closed == 0; i++ {
+				closed = step()
+			}
+			Expect(closed).To(Equal(1), "it has stopped")
+			expectRefusal(ibisconnections.RefusalProgress)
+		},
+		Entry("in pieces", 4<<10),
+		Entry("at once", 64<<20),
+	)
 })
--- a/internal/relay/ibispipeline/conn.go
+++ b/internal/relay/ibispipeline/conn.go
@@ -121,6 +121,10 @@
 		case s.readErr != nil:
 			return 0, s.readErr
 		}
+		if len(p) > 1 && r != nil {
+			// http.Server reads a single byte to notice the end of the connection.
+			s.awaitBody(true)
+		}
 		s.changed.Wait()
 	}
 }
--- a/internal/relay/ibispipeline/follow.go
+++ b/internal/relay/ibispipeline/follow.go
@@ -94,6 +94,7 @@
 	s.stopWatch = s.pipeline.options.Tracker.OnPeerClosed(s.inner, s.recordPeerGone)
 	// http.Server's deadline for the head of the running request ends with its head.
 	_ = s.inner.SetReadDeadline(time.Time{})
+	s.awaitBody(false)
 	s.hold(rest)
 	s.dispatch()
 	go s.pump()
--- a/internal/relay/ibispipeline/pipeline_test.go
+++ b/internal/relay/ibispipeline/pipeline_test.go
@@ -191,6 +191,32 @@
 	Expect(running.most).To(BeEquivalentTo(4), "none of the others is begun")
 })
 
+// Guards against callers that are cut off as stalled while they wait, as their connection is read ahead.
+var _ = It("A caller that waits for reads has not stalled, and one that doesn't send its body has", func() {
+	var server *served
+	server = serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server.connections.BeginRequest(connOf(r).NetConn())
+		_ = connOf(r).Admit(r.Method == http.MethodGet)
+		time.Sleep(300 * time.Millisecond)
+		_, err := io.Copy(io.Discard, r.Body)
+		if err == nil {
+			_, _ = io.WriteString(w, r.URL.Path)
+		}
+	}), 4, 1<<20, -1)
+	DeferCleanup(server.close)
+	stalled := func() int {
+		return server.connections.CloseStalled(ibisconnections.Progress{Bytes: 1, Span: 50 * time.Millisecond})
+	}
+	conn := server.dial()
+	DeferCleanup(conn.Close)
+	_, err := io.WriteString(conn, get("/look/1")+get("/look/2")+strings.TrimSuffix(post("/file", "rest"), "rest"))
+	Expect(err).NotTo(HaveOccurred())
+	Consistently(stalled, "200ms", "10ms").Should(BeZero())
+	got, _ := paths(bufio.NewReader(conn), 2)
+	Expect(got).To(Equal([]string{"/look/1", "/look/2"}))
+	Eventually(stalled, "5s", "10ms").Should(Equal(1))
+})
+
 // Guards against a status that is written past answers that are due (review/14).
 var _ = DescribeTable("A head that is too long gets its status behind the answers that are due, after",
 	func(before int, length int, split bool) {
--- a/internal/relay/ibispipeline/read.go
+++ b/internal/relay/ibispipeline/read.go
@@ -56,6 +56,13 @@
 	return len(s.requests) < s.pipeline.options.MaxRequests && s.bufferedBytes < s.pipeline.options.MaxAnswerBytes && s.reservedBytes == len(s.held)
 }
 
+// awaitBody tells the underlying connection whether a handler waits for bytes of its request.
+func (s *socket) awaitBody(waits bool) {
+	if inner, ok := s.inner.(interface{ AwaitBody(waits bool) }); ok {
+		inner.AwaitBody(waits)
+	}
+}
+
 // hold adds bytes that have been read.
 func (s *socket) hold(b []byte) {
 	if len(b) == 0 {
