ibisgate: one announcement doesn't settle the service of a node

Cause: a node of the other runtime took the service of the first announcement after its start for its own. One announcement of another service, heard first, made it reject those of its backend server for good.

--- a/internal/node/ibisgate/announce.go
+++ b/internal/node/ibisgate/announce.go
@@ -8,19 +8,22 @@
 )
 
 // Announce applies an announcement of the backend server. A restarted server, or another address or capacity, restarts the
-// gate. It fails if the announcement is of another service than the first one, and has no effect then: a node serves one service
-// only, so another writer has sent it.
+// gate. It fails if the announcement is of another service than the known one, and has no effect then: a node serves one service
+// only, so another writer has sent it. The first announcement may itself be of another writer, so the service that is announced twice first
+// stays.
 func (g *Gate) Announce(a ibisbackend.Announcement) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	previous := g.announcement
-	if g.core != nil && a.Service != previous.Service {
+	if g.core != nil && a.Service != previous.Service && (g.settled || g.rival != a.Service) {
+		g.rival = a.Service
 		return fmt.Errorf("service %q: the backend server of this node is of service %q", a.Service, previous.Service)
 	}
+	g.settled = g.core != nil
 	g.announcement = a
 	g.announcedAt = g.timer.Now()
 	switch {
-	case g.core == nil || previous.Run != a.Run || previous.Address != a.Address || previous.Slots != a.Slots || previous.Connections != a.Connections:
+	case g.core == nil || previous.Service != a.Service || previous.Run != a.Run || previous.Address != a.Address || previous.Slots != a.Slots || previous.Connections != a.Connections:
 		g.restart(g.core != nil && previous.Run != a.Run)
 	case a.Cold && !previous.Cold:
 		g.apply(ibisadmit.ColdEvent{})
@@ -36,6 +39,13 @@
 	return g.announcement, g.serverAlive()
 }
 
+// HasSettled reports whether the service of the backend server has been announced twice, so that it stays.
+func (g *Gate) HasSettled() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.settled
+}
+
 func (g *Gate) serverAlive() bool {
 	return g.client != nil && g.timer.Now().Sub(g.announcedAt) < ibisbackend.AnnounceTimeout
 }
--- a/internal/node/ibisgate/gate.go
+++ b/internal/node/ibisgate/gate.go
@@ -20,15 +20,18 @@
 	mu           sync.Mutex
 	announcement ibisbackend.Announcement
 	announcedAt  time.Time
-	client       *ibisbackend.Client
-	core         *ibisadmit.Gate
-	service      ibisdoc.Service
-	policy       ibisadmit.Policy
-	domain       ibisadmit.DomainEvent
-	draining     bool
-	nextID       ibisadmit.RequestID
-	waiting      map[ibisadmit.RequestID]chan decision
-	drained      chan struct{}
+	// settled means that the service has been announced twice, and rival is another one that was announced once before.
+	settled  bool
+	rival    ibisid.ServiceName
+	client   *ibisbackend.Client
+	core     *ibisadmit.Gate
+	service  ibisdoc.Service
+	policy   ibisadmit.Policy
+	domain   ibisadmit.DomainEvent
+	draining bool
+	nextID   ibisadmit.RequestID
+	waiting  map[ibisadmit.RequestID]chan decision
+	drained  chan struct{}
 }
 
 // decision is the core's decision on a waiting request; a nil refusal admits it.
--- a/internal/node/ibisnode/run.go
+++ b/internal/node/ibisnode/run.go
@@ -106,11 +106,11 @@
 	return nil
 }
 
-// waitForServer waits for the first announcement of the backend server; it returns false if the context ends first.
+// waitForServer waits until the backend server has announced its service twice; it returns false if the context ends first.
 func (n *Node) waitForServer(ctx context.Context) bool {
 	announced := make(chan struct{}, 1)
 	poll := n.timer.Every(announcementPollInterval, func(time.Time) {
-		if _, live := n.gate.LatestAnnouncement(); live {
+		if _, live := n.gate.LatestAnnouncement(); live && n.gate.HasSettled() {
 			select {
 			case announced <- struct{}{}:
 			default:
