ibistcp: a free address is given out once

Cause: FreeAddress closed its port before the next one was asked for, and the system may choose a closed port again. A node of a test with one address for two listeners ended at once, and specs of platform failed after their time limits.

Change: a datagram socket on the port reserves each address while the process runs, for other processes too. Ports are chosen below those that the system gives to connections and to listeners without a port.

--- a/internal/standin/ibistcp/address.go
+++ b/internal/standin/ibistcp/address.go
@@ -1,12 +1,56 @@
 package ibistcp
 
-import "net"
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+)
 
-// FreeAddress returns an address on the loopback host whose port nobody listens on; it fails if the host has none.
+const (
+	// firstPort and ports are the range of the ports, below those that the system gives to connections and to listeners without a port.
+	firstPort = 10_000
+	ports     = 20_000
+	// maxTries is how many ports are tried.
+	maxTries = 1000
+)
+
+// reserved holds a datagram socket on the port of each address, which keeps other processes and later calls from choosing it.
+var reserved struct {
+	mu      sync.Mutex
+	sockets []net.PacketConn
+}
+
+// FreeAddress returns an address on the loopback host whose port nobody listens on. No other call returns it while this process runs, in
+// this process or another. It fails if the host has none.
 func FreeAddress(host string) (string, error) {
-	listener, err := net.Listen("tcp4", net.JoinHostPort(host, "0"))
+	var errs []error
+	for range maxTries {
+		address := net.JoinHostPort(host, strconv.Itoa(firstPort+rand.IntN(ports)))
+		err := reserve(address)
+		if err == nil {
+			return address, nil
+		}
+		errs = append(errs, err)
+	}
+	return "", fmt.Errorf("no free port on %s: %w", host, errors.Join(errs[0], errs[maxTries-1]))
+}
+
+// reserve reserves an address; it fails if the address is reserved or in use.
+func reserve(address string) error {
+	socket, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
-		return "", err
+		_ = socket.Close()
+		return err
 	}
-	return listener.Addr().String(), listener.Close()
+	reserved.mu.Lock()
+	defer reserved.mu.Unlock()
+	reserved.sockets = append(reserved.sockets, socket)
+	return listener.Close()
 }
