--- a/internal/relay/ibisrange/lease.go
+++ b/internal/relay/ibisrange/lease.go
@@ -40,6 +40,8 @@
 	retryAt    time.Time
 	// toldEra is the latest era in which the row says what the backend server may hold.
 	toldEra uint64
+	// toldUnnamed means that the row says that the backend server may hold what can't be named.
+	toldUnnamed bool
 	// eraBegan means that the row's version is unknown because a new era has begun; the lease itself goes on.
 	eraBegan bool
 }
@@ -50,6 +52,8 @@
 	sentAt time.Time
 	writer string
 	era    uint64
+	// unnamed is what the row says with Unnamed.
+	unnamed bool
 }
 
 // leaseRow is the content of a lease's row.
@@ -125,7 +129,10 @@
 	if m.lease.renewal != nil || now.Before(m.lease.retryAt) || !m.needsLease(now) {
 		return
 	}
-	if m.leaseValid(now) && now.Sub(m.lease.sentAt) < m.config.RenewInterval && m.lease.toldEra == m.era && !m.lease.outdated {
+	awaitsPage := m.era > firstEra && !m.pageStands()
+	unnamed := awaitsPage && m.holdsUnnamed(now)
+	told := m.lease.toldEra == m.era && (!awaitsPage || unnamed || !m.lease.toldUnnamed)
+	if m.leaseValid(now) && now.Sub(m.lease.sentAt) < m.config.RenewInterval && told && !m.lease.outdated {
 		return
 	}
 	m.lastCommitID++
@@ -134,16 +141,18 @@
 		sentAt: now,
 		writer: fmt.Sprintf("%d/%d", m.config.Incarnation, m.lastCommitID),
 		era:    m.era,
+
+		unnamed: unnamed,
 	}
 	m.lease.renewal = r
 	key := m.leaseKey(m.config.Node)
 	row := leaseRow{
-		Writer: r.writer,
-		Era:    m.era,
+		Writer:  r.writer,
+		Era:     m.era,
+		Unnamed: unnamed,
 	}
 	if !m.pageStands() {
 		row.Holder, row.Holds = m.heldSpans(now)
-		row.Unnamed = m.holdsUnnamed(now)
 	}
 	if m.clock.reading > 0 {
 		row.UntilMs = m.clock.latest(now.Add(m.config.LeaseTerm)).Milliseconds()
@@ -173,7 +182,7 @@
 			return
 		}
 		m.observeClock(result.Clock, r.sentAt)
-		m.lease.version, m.lease.toldEra, m.lease.eraBegan = result.Version, r.era, false
+		m.lease.version, m.lease.toldEra, m.lease.toldUnnamed, m.lease.eraBegan = result.Version, r.era, r.unnamed, false
 		m.lease.unanswered = nil
 		m.extendLease(r.sentAt, now)
 	case ibisstore.OutcomeConflict:
